--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,1113 @@
+// Package choice decides, for one service instance, which ops it holds, starts, nacks and gives up.
+//
+// How to invoke it: Open a Desk at the start of the process with its seed, its start facts and a Port; call
+// Read for each op read, Gone when a caller has left, Leave when the instance is told to go, and Settle once
+// after each batch of these. What an op does next is handed to the Port as closures. The interface is in
+// port.go; the reasons are in docs/design.md, which cites the paper by the symbols named here.
+package choice
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+// ---- What the instance is told at its start
+
+func (f Facts) num(name string) float64        { x, _ := f[name].(float64); return x }
+func (f Facts) span(name string) time.Duration { x, _ := f[name].(time.Duration); return x }
+func (f Facts) flag(name string) bool          { x, _ := f[name].(bool); return x }
+func (f Facts) text(name string) string        { x, _ := f[name].(string); return x }
+
+// Desk holds the decisions of one instance.
+type Desk struct {
+	port   Port
+	facts  Facts
+	seed   uint64
+	drawn  uint64 // the counter behind chance
+	began  time.Duration
+	cores  int
+	types  map[OpType]*opType
+	tenant map[TenantID]*tenant
+
+	ops     map[OpID]*op // all that is owed an answer or still on the cores
+	hold    []*op        // read and unstarted, by arrival
+	running []*op        // started and not at a call
+	calling []*op        // started and standing at a call, or in one
+	sharing []*op        // waiting for the result of the op they repeat
+	kept    []entry      // keys that use memory
+	calls   []call       // the last calls made, for the mean in hand
+
+	grown    int     // the running count that idle cores have let us reach
+	grownAt  int     // endings seen when it last grew
+	endings  int     // endings seen
+	looks    []look  // the last gauges
+	results  []ended // the last endings, for the share that failed
+	callers  []from  // the last arrivals, for their spread over callers and ranks
+	lastLife time.Duration
+
+	leaving  bool
+	toldAt   time.Duration // when it was told to leave
+	killAt   time.Duration
+	state    string
+	probedAt time.Duration
+	level    float64       // the signal last given
+	wakeAt   time.Duration // the timer that is set, 0 for none
+}
+
+type op struct {
+	Arrival
+	kind      *opType
+	came      time.Duration // at the machine, not when read: the paper's a
+	due       time.Duration // when its answer is owed
+	started   time.Duration
+	crowd     int // running when it started
+	tries     int // calls made at the call where it stands
+	inCall    bool
+	answered  bool
+	overShare bool
+	giveUp    func() // what its present step does when the answer falls due
+}
+
+type opType struct {
+	name       OpType
+	index      int
+	importance float64
+	target     time.Duration
+	timeout    time.Duration
+	lateShare  float64
+	repeats    string
+	window     time.Duration
+	ran        []sample // the last runs
+}
+
+type tenant struct {
+	quota float64
+	came  []time.Duration // the last arrivals
+}
+
+type sample struct {
+	at, took, hint time.Duration
+	crowd          float64 // running, mean of its start and end
+}
+type entry struct{ until time.Duration }
+type call struct {
+	from, until time.Duration
+	open        bool
+}
+type look struct {
+	at             time.Duration
+	wanting        float64 // things that want a core, by gauge; -1 where there is none
+	busy           float64
+	running        int
+	waitingForCore bool
+}
+type ended struct {
+	at     time.Duration
+	failed bool
+}
+type from struct {
+	at     time.Duration
+	caller CallerID
+	rank   float64
+}
+
+// lastOf appends and keeps the last n.
+func lastOf[T any](list []T, x T, n int) []T {
+	list = append(list, x)
+	if len(list) > n {
+		list = slices.Delete(list, 0, len(list)-n)
+	}
+	return list
+}
+
+func without(list []*op, o *op) []*op {
+	return slices.DeleteFunc(list, func(x *op) bool { return x == o })
+}
+
+// Open makes the desk of an instance that has just come up.
+func Open(seed uint64, facts Facts, port Port) *Desk {
+	d := &Desk{port: port, facts: facts, seed: seed, began: port.Now(), state: "well", level: -1,
+		types: map[OpType]*opType{}, tenant: map[TenantID]*tenant{}, ops: map[OpID]*op{},
+		cores: max(1, int(facts.num("cores")))}
+	d.grown = d.cores
+	kinds, _ := facts["op types"].([]Facts)
+	for i, k := range kinds {
+		t := &opType{name: OpType(k.text("name")), index: i, importance: k.num("importance"),
+			target: k.span("target latency"), timeout: k.span("op timeout"), lateShare: k.num("late share"),
+			repeats: k.text("repeats"), window: k.span("repeat window")}
+		d.types[t.name] = t
+	}
+	tenants, _ := facts["tenants"].([]Facts)
+	for _, t := range tenants {
+		d.tenant[TenantID(t.text("name"))] = &tenant{quota: t.num("quota a second")}
+	}
+	// Danger: checks that do real work and call below, while we are crowded. They are answered from store.
+	port.Health(true, true)
+	return d
+}
+
+// chance draws from 0 to 1 by the instance's seed and a counter.
+func (d *Desk) chance() float64 {
+	d.drawn++
+	h := fnv.New64a()
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], d.seed)
+	binary.LittleEndian.PutUint64(b[8:], d.drawn)
+	h.Write(b[:])
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// ---- Ops come in
+
+// Read takes an op that has just been read.
+func (d *Desk) Read(a Arrival) {
+	now := d.port.Now()
+	kind := d.types[a.Type]
+	if kind == nil { // a type we were not told of: held to the terms of the first
+		kinds, _ := d.facts["op types"].([]Facts)
+		kind = d.types[OpType(kinds[0].text("name"))]
+	}
+	o := &op{Arrival: a, kind: kind, came: now - a.Lay}
+	o.due = o.came + kind.timeout
+	if a.Waits {
+		o.due = a.ToldWait
+	}
+	o.due = max(o.due, now)
+	d.ops[a.ID] = o
+	d.hold = append(d.hold, o)
+	o.giveUp = func() { d.nack(o) }
+	d.callers = lastOf(d.callers, from{now, a.Caller, a.Rank}, 64)
+	o.overShare = d.beyondQuota(o, now)
+
+	// Danger: an effect that happens twice. A repeat never gets a run; it gets the first one's result.
+	if a.RepeatsOf != "" {
+		d.share(o)
+		return
+	}
+	// Danger: more memory than there is, by held ops and keys.
+	if d.memory()+a.KB > d.memoryRoom() || !d.keep(o, now) {
+		d.nack(o)
+		return
+	}
+}
+
+// beyondQuota tells whether the op's tenant now sends this instance more than its part of the quota.
+// Further tries are left out where they are marked, or a nack would count against the tenant.
+func (d *Desk) beyondQuota(o *op, now time.Duration) bool {
+	t := d.tenant[o.Tenant]
+	if t == nil || t.quota <= 0 || o.Retry {
+		return t != nil && t.rate(now) > d.quotaHere(t)
+	}
+	t.came = lastOf(t.came, now, 256)
+	return t.rate(now) > d.quotaHere(t)
+}
+
+// quotaHere is a tenant's quota at this instance; a quarter more is allowed, as the callers do not
+// spread a tenant evenly and a few seconds of arrivals are a rough count.
+func (d *Desk) quotaHere(t *tenant) float64 {
+	return 1.25 * t.quota / max(1, d.facts.num("fleet size"))
+}
+
+// rate counts over four seconds: some tens of arrivals at the usual loads.
+func (t *tenant) rate(now time.Duration) float64 {
+	const over = 4 * time.Second
+	n := 0
+	for i := len(t.came) - 1; i >= 0 && t.came[i] > now-over; i-- {
+		n++
+	}
+	return float64(n) / over.Seconds()
+}
+
+// keep stores the key of an op that may be repeated, before it can run.
+func (d *Desk) keep(o *op, now time.Duration) bool {
+	span := o.came + o.kind.window - now
+	switch {
+	case o.kind.repeats == "keyed":
+		// until the window from its arrival is over, with two ticks to spare
+		span += 2 * d.facts.span("tick")
+	case o.kind.repeats == "retryable" && !o.Write && o.Subject != "" && d.facts.span("shared reads for") > 0:
+		span = o.due - now + d.facts.span("shared reads for")
+		// Shared reads may use a fifth of the memory; keyed ops need theirs more.
+		if d.keyMemory()+d.facts.num("key KB") > d.facts.num("memory KB")/5 {
+			return true
+		}
+	default:
+		return true
+	}
+	if span <= 0 {
+		return true
+	}
+	if d.memory()+d.facts.num("key KB") > d.memoryRoom() {
+		return false
+	}
+	d.kept = append(d.kept, entry{now + span})
+	d.port.KeepKey(o.ID, span)
+	return true
+}
+
+func (d *Desk) keyMemory() float64 {
+	now := d.port.Now()
+	d.kept = slices.DeleteFunc(d.kept, func(e entry) bool { return e.until+d.facts.span("tick") < now })
+	return float64(len(d.kept)) * d.facts.num("key KB")
+}
+
+// memory is what held and running ops and keys use now.
+func (d *Desk) memory() float64 {
+	kb := d.keyMemory()
+	factor := max(1, d.facts.num("run memory factor"))
+	for _, o := range d.hold {
+		kb += o.KB
+	}
+	for _, o := range d.sharing {
+		kb += o.KB
+	}
+	for _, o := range d.running {
+		kb += o.KB * factor
+	}
+	for _, o := range d.calling {
+		kb += o.KB * factor
+	}
+	return kb
+}
+
+// memoryRoom leaves a twelfth free, for what is read while a reply is on its way.
+func (d *Desk) memoryRoom() float64 {
+	if kb := d.facts.num("memory KB"); kb > 0 {
+		return kb * 11 / 12
+	}
+	return math.Inf(1)
+}
+
+// Gone hears that the caller of an op has given up: nothing is owed any more.
+func (d *Desk) Gone(id OpID) {
+	o := d.ops[id]
+	if o == nil {
+		return
+	}
+	o.answered = true
+	switch {
+	case slices.Contains(d.hold, o), slices.Contains(d.sharing, o):
+		d.forget(o)
+	case slices.Contains(d.running, o):
+		d.stop(o)
+	}
+}
+
+// Leave hears that the instance is killed at the time given.
+func (d *Desk) Leave(at time.Duration) {
+	d.leaving, d.toldAt, d.killAt = true, d.port.Now(), at
+}
+
+// ---- Answers
+
+func (d *Desk) forget(o *op) {
+	d.hold, d.sharing = without(d.hold, o), without(d.sharing, o)
+	d.running, d.calling = without(d.running, o), without(d.calling, o)
+	delete(d.ops, o.ID)
+}
+
+// nack turns away an op that has not run, with advice on how long to keep away.
+func (d *Desk) nack(o *op) {
+	if o.answered {
+		return
+	}
+	o.answered = true
+	if o.kind.repeats == "keyed" && o.RepeatsOf == "" {
+		d.port.DropKey(o.ID) // it never ran here: a later try is free to
+	}
+	d.port.Nack(o.ID, d.stayAway(), false)
+	d.forget(o)
+}
+
+// stayAway grows as the instance is less welcoming; the half that is drawn keeps callers from coming back
+// all at once.
+func (d *Desk) stayAway() time.Duration {
+	if !d.facts.flag("stay away is passed on") {
+		return 0
+	}
+	span := float64(d.facts.span("longest stay away")) * (1 - d.welcome())
+	return time.Duration(span * (0.5 + 0.5*d.chance()))
+}
+
+// abandon answers an op whose run is under way and frees its core where that is allowed.
+// Danger: a keyed or non-retryable op that ran and is nacked would be run again elsewhere; it fails instead.
+func (d *Desk) abandon(o *op) {
+	if o.answered {
+		return
+	}
+	o.answered = true
+	if o.kind.repeats == "retryable" {
+		d.port.Nack(o.ID, d.stayAway(), false)
+	} else {
+		d.port.Fail(o.ID)
+	}
+	if slices.Contains(d.running, o) {
+		d.stop(o)
+	}
+}
+
+// stop takes off the cores a run that nobody waits for.
+func (d *Desk) stop(o *op) {
+	if d.facts.text("halt") == "drop" || d.facts.text("halt") == "pause" {
+		d.port.Stop(o.ID)
+	}
+}
+
+// share answers a repeat by the first one's result.
+func (d *Desk) share(o *op) {
+	d.hold = without(d.hold, o)
+	d.sharing = append(d.sharing, o)
+	o.giveUp = func() {
+		o.answered = true
+		d.port.Fail(o.ID)
+		d.forget(o)
+	}
+	d.port.Share(o.ID, func(Ending, time.Duration) { d.forget(o) })
+}
+
+// start runs a held op.
+func (d *Desk) start(o *op) {
+	now := d.port.Now()
+	d.hold = without(d.hold, o)
+	d.running = append(d.running, o)
+	o.started, o.crowd = now, len(d.running)
+	o.giveUp = func() { d.abandon(o) }
+	d.port.Run(o.ID, func() { d.atCall(o) }, func(how Ending, took time.Duration) { d.ended(o, how, took) })
+}
+
+func (d *Desk) ended(o *op, how Ending, took time.Duration) {
+	now := d.port.Now()
+	crowd := float64(o.crowd+len(d.running)) / 2
+	d.closeCall(o, now)
+	d.forget(o)
+	d.lastLife = now
+	if how == Acked || how == Failed {
+		d.endings++
+		d.results = lastOf(d.results, ended{now, how == Failed}, 16)
+	}
+	if how == Acked {
+		// 24 runs: a second or two of work at the usual rates, enough for a line through them.
+		o.kind.ran = lastOf(o.kind.ran, sample{now, took, o.Hint, crowd}, 24)
+	}
+	if how == Cancelled && !o.answered { // stopped by no wish of ours: the answer is still owed
+		o.answered = true
+		d.port.Fail(o.ID)
+	}
+}
+
+// ---- Calls to what lies below
+
+func (d *Desk) atCall(o *op) {
+	d.lastLife = d.port.Now()
+	d.running = without(d.running, o)
+	if !slices.Contains(d.calling, o) {
+		d.calling = append(d.calling, o)
+	}
+	o.tries, o.inCall = 0, false
+}
+
+// grantCalls lets the ops with the least slack call first, within the bound.
+func (d *Desk) grantCalls(now time.Duration) {
+	waiting := slices.DeleteFunc(slices.Clone(d.calling), func(o *op) bool { return o.inCall })
+	sort.SliceStable(waiting, func(i, j int) bool { return d.slack(waiting[i], now) < d.slack(waiting[j], now) })
+	for _, o := range waiting {
+		switch {
+		case o.answered:
+			d.port.Fail(o.ID) // ends the run, nobody waits for it
+		case d.callRoom(now):
+			d.call(o, now)
+		case d.skipShare(o.kind) > 0 && d.slack(o, now) < d.timeFor(o, len(d.running))/2:
+			d.skip(o)
+		}
+	}
+}
+
+func (d *Desk) skipShare(k *opType) float64 {
+	shares, _ := d.facts["skip share by type"].([]float64)
+	if k.index < len(shares) {
+		return shares[k.index]
+	}
+	return 0
+}
+
+// callRoom bounds the calls in hand by the told share, at any moment and in the mean. With a tier below no
+// share is told; two calls a core keep the cores busy while calls are no slower than runs.
+// Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
+func (d *Desk) callRoom(now time.Duration) bool {
+	share := d.facts.num("call share")
+	if d.facts.text("below") != "shared" || share <= 0 {
+		return d.callsInHand(now) < 2*d.cores
+	}
+	over := max(d.facts.span("calls over"), time.Second)
+	var held time.Duration
+	for _, c := range d.calls {
+		until := c.until
+		if c.open {
+			until = now
+		}
+		held += max(0, min(until, now)-max(c.from, now-over))
+	}
+	return float64(d.callsInHand(now)+1) <= max(1, share) && held.Seconds() < 0.9*share*over.Seconds()
+}
+
+func (d *Desk) callsInHand(now time.Duration) int {
+	n := 0
+	for _, c := range d.calls {
+		if c.open || c.until > now {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Desk) call(o *op, now time.Duration) {
+	o.inCall = true
+	o.tries++
+	over := max(d.facts.span("calls over"), time.Second)
+	d.calls = slices.DeleteFunc(d.calls, func(c call) bool { return !c.open && c.until < now-over })
+	d.calls = append(d.calls, call{from: now, open: true})
+	until := o.due - 2*d.facts.span("tick")
+	if d.skipShare(o.kind) > 0 && d.slack(o, now) > 0 {
+		until = now + d.slack(o, now)*2/3 // leaves time for the poorer answer
+	}
+	until = max(until, now+d.facts.span("tick"))
+	d.port.Call(o.ID, until, func(how Ending, took time.Duration) { d.called(o, how) })
+}
+
+// closeCall notes that one call is no longer open.
+func (d *Desk) closeCall(o *op, until time.Duration) {
+	if !o.inCall {
+		return
+	}
+	o.inCall = false
+	for i := range d.calls {
+		if d.calls[i].open {
+			d.calls[i].open, d.calls[i].until = false, until
+			return
+		}
+	}
+}
+
+func (d *Desk) called(o *op, how Ending) {
+	now := d.port.Now()
+	until := now
+	if how == GivenUp || how == Broken {
+		until += d.facts.span("given-up call lingers")
+	}
+	d.closeCall(o, until)
+	if how == Acked {
+		d.lastLife = now
+		d.calling = without(d.calling, o)
+		d.running = append(d.running, o)
+		return
+	}
+	// Danger: a call that had its effect is sent again. Only an outcome that proves that it never ran, or an
+	// op that may run again, allows another try; three are enough to outlast a crowded moment.
+	again := how == Full || how == Unreached || o.kind.repeats == "retryable"
+	switch {
+	case o.answered:
+		d.port.Fail(o.ID)
+	case d.skipShare(o.kind) > 0:
+		d.skip(o)
+	case !again || o.tries >= 3 || d.slack(o, now) <= 0:
+		o.answered = true
+		d.port.Fail(o.ID)
+	}
+}
+
+func (d *Desk) skip(o *op) {
+	d.calling = without(d.calling, o)
+	d.running = append(d.running, o)
+	d.port.SkipCall(o.ID)
+}
+
+// ---- Predictions: the paper's section 3.2, fitted on the last runs
+
+// recent leaves out runs of over 8 s ago: a cold start or a slow spell must not rate the runs after it.
+func (k *opType) recent(now time.Duration) []sample {
+	for i, s := range k.ran {
+		if s.at > now-8*time.Second || i == len(k.ran)-4 {
+			return k.ran[i:]
+		}
+	}
+	return k.ran
+}
+
+func meanHint(ran []sample) time.Duration {
+	var sum time.Duration
+	for _, s := range ran {
+		sum += s.hint
+	}
+	return sum / time.Duration(max(1, len(ran)))
+}
+
+// work is the paper's r: the mean run time over running per core, scaled by the hint over the mean hint.
+func (d *Desk) work(o *op) time.Duration {
+	ran := o.kind.recent(d.port.Now())
+	if len(ran) == 0 {
+		if o.Hint > 0 {
+			return time.Duration(float64(o.Hint) / d.speedShare())
+		}
+		return o.kind.target / 8 // nothing is known: an eighth of the target lets the first runs in
+	}
+	var sum time.Duration
+	for _, s := range ran {
+		sum += time.Duration(float64(s.took) / d.perCore(s.crowd))
+	}
+	return time.Duration(float64(sum) / float64(len(ran)) * scale(o, ran))
+}
+
+// scale holds a hint to a quarter and eight times the mean, since it may be rough.
+func scale(o *op, ran []sample) float64 {
+	if mean := meanHint(ran); mean > 0 && o.Hint > 0 {
+		return min(8, max(0.25, float64(o.Hint)/float64(mean)))
+	}
+	return 1
+}
+
+func (d *Desk) perCore(running float64) float64 { return max(1, running/float64(d.cores)) }
+
+// timeFor is the paper's T: r times running per core, with so many running.
+func (d *Desk) timeFor(o *op, running int) time.Duration {
+	return time.Duration(float64(d.work(o)) * d.perCore(float64(running)))
+}
+
+// fitted is the run time of a type against the running count: a line by least squares over its last runs,
+// or, while these are few or all of one crowd, in proportion to running per core.
+func (d *Desk) fitted(k *opType, running int) time.Duration {
+	ran := k.recent(d.port.Now())
+	n := float64(len(ran))
+	var sx, sy, sxx, sxy float64
+	for _, s := range ran {
+		y := s.took.Seconds()
+		sx, sy, sxx, sxy = sx+s.crowd, sy+y, sxx+s.crowd*s.crowd, sxy+s.crowd*y
+	}
+	spread := sxx*n - sx*sx
+	if n < 8 || spread < n*n { // eight runs and a deviation of one op: less gives no slope
+		return d.timeFor(&op{kind: k}, running)
+	}
+	slope := max(0, (sxy*n-sx*sy)/spread)
+	at := sy/n + slope*(float64(running)-sx/n)
+	return time.Duration(max(at, 0) * float64(time.Second))
+}
+
+// slack is the paper's s: arrival plus target latency minus now.
+func (d *Desk) slack(o *op, now time.Duration) time.Duration { return o.came + o.kind.target - now }
+
+// left is the time in which an op can still earn: to its target latency, or to the answer that is owed where
+// a late one earns half or more; never past the kill.
+func (d *Desk) left(o *op, now time.Duration) time.Duration {
+	left := d.slack(o, now)
+	if o.kind.lateShare >= 0.5 {
+		left = o.due - now
+	}
+	left = min(left, o.due-now)
+	if d.leaving {
+		left = min(left, d.killAt-leaveMargin-now)
+	}
+	return left
+}
+
+// speedShare is the share of its speed that a cold instance has: evenly rising from the told start.
+func (d *Desk) speedShare() float64 {
+	warm := d.facts.span("warm within")
+	age := d.port.Now() - d.began
+	if !d.facts.flag("just started") || warm <= 0 || age >= warm {
+		return 1
+	}
+	from := max(0.05, d.facts.num("cold speed share"))
+	return from + (1-from)*float64(age)/float64(warm)
+}
+
+// ---- The limit on how many run
+
+// limit is the largest running count whose fit meets the least running slack. It floors at the core count,
+// with the runs that wait off the cores on top, stays at what idle cores have let it grow to, and under
+// the survivable crowd.
+func (d *Desk) limit(now time.Duration) int {
+	least := time.Duration(math.MaxInt64)
+	kinds := map[*opType]bool{}
+	for _, o := range d.running {
+		if s := d.slack(o, now); s > 0 {
+			least = min(least, s)
+			kinds[o.kind] = true
+		}
+	}
+	n := d.grown
+	for ; n > d.cores; n-- {
+		meets := true
+		for k := range kinds { // only whether all meet it counts, not their order
+			meets = meets && d.fitted(k, n) <= least
+		}
+		if meets {
+			break
+		}
+	}
+	return min(max(n, d.cores+d.offCores()), d.crowdCeiling())
+}
+
+// offCores is how many runs wait for something else than a core, by the last gauges. Without them the
+// floor would leave cores idle wherever ops wait on disk.
+func (d *Desk) offCores() int {
+	var sum float64
+	n := 0
+	for _, l := range d.looks {
+		if l.wanting >= 0 {
+			sum += max(0, float64(l.running)-l.wanting)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return int(sum / float64(n))
+}
+
+// crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
+// Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
+func (d *Desk) crowdCeiling() int {
+	crowd := d.facts.num("crowd a core")
+	if crowd <= 0 {
+		return 2 * d.cores
+	}
+	return max(1, int(0.75*float64(d.cores)*(1+(crowd-1)*d.speedShare())))
+}
+
+// onCores estimates what wants a core now: the last gauge and what has started or ended since.
+func (d *Desk) onCores(now time.Duration) float64 {
+	if len(d.looks) > 0 {
+		l := d.looks[len(d.looks)-1]
+		if l.wanting >= 0 && now-l.at < 300*time.Millisecond { // three looks; older ones tell nothing
+			return max(0, l.wanting+float64(len(d.running)-l.running))
+		}
+	}
+	return float64(len(d.running))
+}
+
+func (d *Desk) coreFree(now time.Duration) bool { return d.onCores(now) < float64(d.cores) }
+
+// look takes the gauges of a moment, and lets the limit grow by one while cores idle and work waits.
+func (d *Desk) look(gauges map[string]float64) {
+	now := d.port.Now()
+	l := look{at: now, wanting: -1, busy: 1, running: len(d.running)}
+	if w, told := gauges["want a core"]; told {
+		l.wanting = w
+	}
+	if b, told := gauges["cores busy"]; told {
+		l.busy = b
+	}
+	d.looks = lastOf(d.looks, l, 8)
+	idle := l.busy < 0.95
+	crowded := false
+	if l.wanting >= 0 {
+		idle = l.wanting < float64(d.cores)
+		// A sixth over the cores: beyond it runs only slow each other down.
+		crowded = l.wanting > float64(d.cores)*7/6
+	}
+	// Danger: a hang looks like idle cores and would swallow all that waits. No growth without an ending.
+	if idle && len(d.hold) > 0 && d.endings > d.grownAt {
+		d.grown = max(d.grown, d.limit(now)) + 1
+		d.grownAt = d.endings
+	} else if crowded {
+		d.grown = max(d.cores, d.grown-1)
+	}
+}
+
+// ---- The order of the hold: the paper's section 3.3
+
+// alpha is the urgency from which an op is urgent; at 1 it would already be one that misses.
+const alpha = 0.5
+
+// epsilon keeps the division whole when no slack is left.
+const epsilon = time.Millisecond
+
+func (d *Desk) urgent(o *op, now time.Duration) bool {
+	t := d.timeFor(o, len(d.running))
+	return float64(t)/float64(max(d.slack(o, now), epsilon)) > alpha
+}
+
+// protected is the paper's g, from the rank: the band of the highest importance, as ranks give each
+// importance an equal band; with one importance only the top fifth.
+func (d *Desk) protected(o *op) bool {
+	bands := map[float64]bool{}
+	for _, k := range d.types {
+		bands[k.importance] = true
+	}
+	if len(bands) < 2 {
+		return o.Rank >= 0.8
+	}
+	return o.Rank >= 1-1/float64(len(bands))
+}
+
+// key is one held op with its place in the order, worked out once.
+type key struct {
+	o       *op
+	level   int // 1-g, and one more for a tenant beyond its quota
+	urgent  bool
+	r, s, t time.Duration
+}
+
+// order sorts the hold by (1-g, 1-urgent, r).
+func (d *Desk) order(now time.Duration) []key {
+	keys := make([]key, 0, len(d.hold))
+	for _, o := range d.hold {
+		k := key{o: o, level: 1, urgent: d.urgent(o, now), r: d.work(o), s: d.slack(o, now),
+			t: d.timeFor(o, len(d.running))}
+		if d.protected(o) {
+			k.level--
+		}
+		if o.overShare {
+			k.level++
+		}
+		keys = append(keys, k)
+	}
+	sort.SliceStable(keys, func(i, j int) bool {
+		a, b := keys[i], keys[j]
+		if a.level != b.level {
+			return a.level < b.level
+		}
+		if a.urgent != b.urgent {
+			return a.urgent
+		}
+		return a.r < b.r
+	})
+	return keys
+}
+
+// weed nacks, while no core is free, what cannot be done in the time left: its own T, and the wait for the
+// work before it in the order, which the paper's T leaves out. Late nacks come back with spent slack.
+func (d *Desk) weed(keys []key, now time.Duration) []key {
+	var ahead time.Duration
+	for _, o := range d.running {
+		ahead += max(0, d.work(o)-time.Duration(float64(now-o.started)/d.perCore(float64(len(d.running)))))
+	}
+	return slices.DeleteFunc(keys, func(k key) bool {
+		wait := ahead / time.Duration(d.cores)
+		if wait+k.t > d.left(k.o, now) {
+			d.nack(k.o)
+			return true
+		}
+		ahead += k.r
+		return false
+	})
+}
+
+// ---- The knapsack: the paper's section 3.5
+
+// plan picks what to start into the room that the limit leaves. It follows the key, unless no core is free
+// and starting the head would make another miss its slack; then the best plan around an at-risk anchor.
+func (d *Desk) plan(keys []key, room int, now time.Duration) []key {
+	byKey := keys[:min(room, len(keys))]
+	if d.coreFree(now) || len(keys) < 2 {
+		return byKey[:min(1, len(byKey))]
+	}
+	// The next start comes when one of the running ends.
+	gap := keys[0].t / time.Duration(max(1, len(d.running)))
+	var best []key
+	var bestValue float64
+	for _, a := range keys[1:] {
+		if a.level > max(1, keys[0].level) || a.s >= a.t+gap || a.s < a.t {
+			continue // beyond its quota, not at risk, or lost already
+		}
+		count := d.startCount(a, room, now)
+		if count < 1 {
+			continue
+		}
+		set, value := d.around(a, keys, count)
+		if len(set) > len(best) || len(set) == len(best) && value > bestValue {
+			best, bestValue = set, value
+		}
+	}
+	if best == nil {
+		return byKey[:min(1, len(byKey))]
+	}
+	return best
+}
+
+// startCount turns the anchor's slack into a running count, less those running, within the room.
+func (d *Desk) startCount(a key, room int, now time.Duration) int {
+	count := 0
+	for count < room && d.timeFor(a.o, len(d.running)+count+1) <= a.s {
+		count++
+	}
+	return count
+}
+
+// around fills the count with the anchor and those of highest value whose slack is no earlier than its own.
+func (d *Desk) around(a key, keys []key, count int) ([]key, float64) {
+	var set []key
+	var sumR, sumS float64
+	for _, k := range keys {
+		if k.o == a.o || k.s >= a.s && k.s > 0 {
+			set = append(set, k)
+			sumR, sumS = sumR+float64(k.r), sumS+float64(k.s)
+		}
+	}
+	value := func(k key) float64 { return 1 / (float64(k.r)/sumR + float64(k.s)/sumS) }
+	sort.SliceStable(set, func(i, j int) bool {
+		if set[i].o == a.o || set[j].o == a.o {
+			return set[i].o == a.o
+		}
+		return value(set[i]) > value(set[j])
+	})
+	set = set[:min(count, len(set))]
+	var total float64
+	for _, k := range set {
+		total += value(k)
+	}
+	return set, total
+}
+
+// ---- Health from what is observed
+
+// stuck sees that work goes in and none comes out: no run has ended, reached or left a call for far longer
+// than those on the cores should take. It should catch hangs, a dead disk, a lost core, a lock held for
+// ever; it can hurt where one op is far longer than its hint, so a lone run gets eight times its T.
+func (d *Desk) stuck(now time.Duration) bool {
+	if len(d.running) == 0 {
+		return false
+	}
+	oldest := now
+	var t time.Duration
+	for _, o := range d.running {
+		oldest = min(oldest, o.started)
+		t += d.timeFor(o, len(d.running))
+	}
+	t /= time.Duration(len(d.running))
+	quiet := now - max(oldest, d.lastLife)
+	return float64(quiet) > float64(t)*(2+6/float64(len(d.running)))
+}
+
+// failShare is the share of the last endings that failed; those of over 5 s ago are forgotten, which is the
+// way back.
+func (d *Desk) failShare(now time.Duration) float64 {
+	n, failed := 0, 0
+	for _, r := range d.results {
+		if r.at > now-5*time.Second {
+			n++
+			if r.failed {
+				failed++
+			}
+		}
+	}
+	if failed < 3 { // fewer are the usual errors
+		return 0
+	}
+	return float64(failed) / float64(n)
+}
+
+// judge names the state of the instance and tells of a change, once.
+func (d *Desk) judge(now time.Duration) {
+	was := d.state
+	switch {
+	case d.leaving:
+		d.state = "leaving"
+	case d.stuck(now):
+		d.state = "stuck"
+	case d.failShare(now) >= 0.5:
+		d.state = "failing"
+	default:
+		d.state = "well"
+	}
+	if d.state != was {
+		d.port.Note(fmt.Sprintf("%s -> %s: held %d, running %d", was, d.state, len(d.hold), len(d.running)))
+		d.port.Health(d.state == "well", true)
+	}
+}
+
+// shelter nacks what should not be started here in the present state.
+func (d *Desk) shelter(now time.Duration) {
+	for _, o := range slices.Clone(d.hold) {
+		switch d.state {
+		case "leaving":
+			// Danger: running what came after the grace, or what the kill would cut off.
+			late := o.came > d.toldAt+d.facts.span("drain grace")-2*d.facts.span("tick")
+			if late || d.timeFor(o, len(d.running)) > d.left(o, now) {
+				d.nack(o)
+			}
+		case "stuck":
+			d.nack(o)
+		case "failing":
+			// One op each half second goes through, to see whether runs still fail.
+			if now-d.probedAt < 500*time.Millisecond {
+				d.nack(o)
+			} else {
+				d.probedAt = now
+			}
+		}
+	}
+	if d.state == "stuck" {
+		// Danger: callers wait for runs that will not end. Retryable ones are told now, while they have time.
+		for _, o := range slices.Clone(d.running) {
+			if o.kind.repeats == "retryable" && !o.answered {
+				o.answered = true
+				d.port.Nack(o.ID, d.stayAway(), false)
+			}
+		}
+	}
+}
+
+// ---- What callers are told
+
+// welcome is how much of its usual traffic the instance wants, 0 to 1.
+func (d *Desk) welcome() float64 {
+	now := d.port.Now()
+	switch d.state {
+	case "leaving", "stuck":
+		return 0
+	case "failing":
+		return 0.05
+	}
+	var waiting time.Duration
+	for _, o := range d.hold {
+		waiting += d.work(o)
+	}
+	target := time.Duration(math.MaxInt64)
+	for _, k := range d.types {
+		target = min(target, k.target)
+	}
+	// Half a target latency of waiting work is as much as can still be done in time.
+	wait := float64(waiting) / float64(d.cores) / (float64(target) / 2)
+	well := 1 - d.failShare(now)
+	return max(0, 1-wait) * well * well * d.speedShare()
+}
+
+// signal turns the welcome into the value that the site's callers go by.
+func (d *Desk) signal(now time.Duration) {
+	level := 0.0
+	w := d.welcome()
+	switch d.facts.text("signal") {
+	case "chance":
+		level = math.Round(w*20) / 20 // steps of a twentieth, not to talk at each op
+	case "least rank":
+		ranks := []float64{}
+		for _, c := range d.callers {
+			ranks = append(ranks, c.rank)
+		}
+		slices.Sort(ranks)
+		if out := int((1 - w) * float64(len(ranks))); out > 0 {
+			level = ranks[min(out, len(ranks)-1)]
+		}
+	case "tokens":
+		level = math.Round(w*d.room(now)/d.spread()*4) / 4
+	default:
+		return
+	}
+	if level != d.level {
+		d.level = level
+		d.port.Signal(level)
+	}
+}
+
+// room is how many ops could be here and still be in time: those that run, and half a target of waiting.
+func (d *Desk) room(now time.Duration) float64 {
+	var target, work time.Duration
+	for _, k := range d.types {
+		target += k.target
+		work += d.work(&op{kind: k})
+	}
+	return float64(d.limit(now)) + float64(d.cores)*float64(target)/2/float64(max(work, time.Millisecond))
+}
+
+// spread is over how many callers the last arrivals were spread; a caller with most of them counts most.
+func (d *Desk) spread() float64 {
+	counts := map[CallerID]float64{}
+	for _, c := range d.callers {
+		counts[c.caller]++
+	}
+	var squares float64
+	for _, n := range counts { // whole numbers: their sum does not depend on the order
+		squares += n * n
+	}
+	if squares == 0 {
+		return max(1, d.facts.num("callers"))
+	}
+	total := float64(len(d.callers))
+	return total * total / squares
+}
+
+// ---- The round
+
+// leaveMargin before the kill all is answered; a pause of the process may come in between.
+const leaveMargin = 150 * time.Millisecond
+
+// Settle decides, once all events of a batch are in.
+func (d *Desk) Settle() {
+	now := d.port.Now()
+	d.answerDue(now)
+	d.judge(now)
+	d.shelter(now)
+	d.startOps(now)
+	d.grantCalls(now)
+	d.signal(now)
+	d.setWake(now)
+}
+
+// owed are the ops that wait for an answer, in a fixed order.
+func (d *Desk) owed() []*op {
+	all := slices.Concat(d.hold, d.sharing, d.running, d.calling)
+	return slices.DeleteFunc(all, func(o *op) bool { return o.answered })
+}
+
+// dueAt is when an answer is sent at the latest: two ticks before it is owed, and before the kill.
+func (d *Desk) dueAt(o *op) time.Duration {
+	at := o.due - 2*d.facts.span("tick")
+	if d.leaving {
+		at = min(at, d.killAt-leaveMargin)
+	}
+	return at
+}
+
+// answerDue gives up on what is owed an answer now. Danger: an op that is lost, whatever holds it up.
+func (d *Desk) answerDue(now time.Duration) {
+	for _, o := range d.owed() {
+		if d.dueAt(o) <= now {
+			o.giveUp()
+		}
+	}
+}
+
+func (d *Desk) startOps(now time.Duration) {
+	keys := d.order(now)
+	if !d.coreFree(now) {
+		keys = d.weed(keys, now)
+	}
+	factor := max(1, d.facts.num("run memory factor"))
+	for len(keys) > 0 {
+		room := d.limit(now) - len(d.running)
+		if room < 1 {
+			return
+		}
+		for _, k := range d.plan(keys, room, now) {
+			// Danger: more memory than there is. A run needs several times what it held.
+			if d.memory()+k.o.KB*(factor-1) > d.memoryRoom() {
+				return
+			}
+			d.start(k.o)
+			keys = slices.DeleteFunc(keys, func(x key) bool { return x.o == k.o })
+		}
+	}
+}
+
+// setWake keeps one timer: for the next answer due, and while work is here a look each 100 ms, which is
+// many looks in a run and a few timers a second.
+func (d *Desk) setWake(now time.Duration) {
+	const every = 100 * time.Millisecond
+	next := time.Duration(0)
+	if len(d.ops) > 0 || d.state != "well" || d.level >= 0 && d.welcome() < 1 {
+		next = now + every
+	}
+	for _, o := range d.owed() {
+		next = min(next, max(d.dueAt(o), now+d.facts.span("tick")))
+	}
+	if next == 0 || d.wakeAt > now && d.wakeAt <= next {
+		return
+	}
+	d.wakeAt = next
+	d.port.Wake(next, d.look)
+}
--- /dev/null
+++ b/cmd/wirehost/host.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"lanewheel/choice"
+	"lanewheel/internal/wire"
+)
+
+// host turns messages straight into calls on the instances, and their answers into messages.
+type host struct {
+	reader    wire.Reader
+	reply     wire.Reply
+	now       time.Duration
+	inBatch   bool
+	instances map[int]*instance
+	touched   []*instance // those with an event in this batch, in order of the first
+}
+
+// instance is one life of a service instance, with the closures its steps have left behind.
+type instance struct {
+	host   *host
+	who    int
+	desk   *choice.Desk
+	met    bool // has had an event in this batch
+	atCall map[choice.OpID]func()
+	ended  map[choice.OpID]func(choice.Ending, time.Duration)
+	called map[choice.OpID]func(choice.Ending, time.Duration)
+	wakes  map[string]func(map[string]float64)
+	armed  uint64
+}
+
+func newHost() *host { return &host{instances: map[int]*instance{}} }
+
+// take handles one line and tells whether it closed the batch.
+func (h *host) take(text []byte) (bool, error) {
+	line, err := h.reader.Parse(text)
+	if err != nil {
+		return false, err
+	}
+	switch {
+	case line.Name == "tick":
+		if h.inBatch {
+			return false, errors.New("tick: inside a batch")
+		}
+		h.inBatch = true
+		at, err := line.Tick()
+		if err == nil && at < h.now {
+			err = errors.New("tick: clock-s: the clock goes back")
+		}
+		h.now = at
+		return false, err
+	case !h.inBatch:
+		return false, fmt.Errorf("%s: outside a batch", line.Name)
+	case line.Name == "flush":
+		for _, in := range h.touched {
+			if h.instances[in.who] == in {
+				in.desk.Settle()
+			}
+			in.met = false
+		}
+		h.touched, h.inBatch = h.touched[:0], false
+		return true, line.Flush()
+	}
+	return false, h.event(line)
+}
+
+func (h *host) event(line wire.Line) error {
+	who, err := line.Who()
+	if err != nil {
+		return err
+	}
+	in := h.instances[who]
+	if line.Name == "boot" {
+		seed, facts, err := line.Boot()
+		if err != nil {
+			return err
+		}
+		in = &instance{
+			host: h, who: who,
+			atCall: map[choice.OpID]func(){},
+			ended:  map[choice.OpID]func(choice.Ending, time.Duration){},
+			called: map[choice.OpID]func(choice.Ending, time.Duration){},
+			wakes:  map[string]func(map[string]float64){},
+		}
+		h.instances[who] = in
+		h.touch(in)
+		in.desk = choice.Open(seed, facts, in)
+		return nil
+	}
+	if in == nil {
+		return fmt.Errorf("%s: who: instance %d was never booted", line.Name, who)
+	}
+	h.touch(in)
+	return in.hear(line)
+}
+
+func (h *host) touch(in *instance) {
+	if !in.met {
+		in.met = true
+		h.touched = append(h.touched, in)
+	}
+}
+
+func (in *instance) hear(line wire.Line) error {
+	switch line.Name {
+	case "order":
+		op, err := line.Order()
+		if err != nil {
+			return err
+		}
+		in.desk.Read(op)
+	case "timeout-fired":
+		token, gauges, err := line.TimeoutFired()
+		if err != nil {
+			return err
+		}
+		if then, known := in.wakes[token]; known {
+			delete(in.wakes, token)
+			then(gauges)
+		}
+	case "blocked":
+		id, err := line.Op()
+		if err != nil {
+			return err
+		}
+		if then, known := in.atCall[id]; known {
+			then()
+		}
+	case "ended":
+		id, took, how, err := line.Ended()
+		if err != nil {
+			return err
+		}
+		then, known := in.ended[id]
+		delete(in.ended, id)
+		delete(in.atCall, id)
+		delete(in.called, id)
+		if known {
+			then(how, took)
+		}
+	case "call-done":
+		id, took, how, err := line.CallDone()
+		if err != nil {
+			return err
+		}
+		if then, known := in.called[id]; known {
+			delete(in.called, id)
+			then(how, took)
+		}
+	case "terminate-soon":
+		at, err := line.TerminateSoon()
+		if err != nil {
+			return err
+		}
+		in.desk.Leave(at)
+	case "aborted":
+		id, err := line.Op()
+		if err != nil {
+			return err
+		}
+		in.desk.Gone(id)
+	case "power-off":
+		if err := line.PowerOff(); err != nil {
+			return err
+		}
+		delete(in.host.instances, in.who)
+	default:
+		return fmt.Errorf("%s: unknown message", line.Name)
+	}
+	return nil
+}
+
+func (in *instance) say(name string, values ...any) { in.host.reply.Say(name, in.who, values...) }
+
+// The rest is choice.Port.
+
+func (in *instance) Now() time.Duration { return in.host.now }
+
+func (in *instance) Run(id choice.OpID, atCall func(), ended func(choice.Ending, time.Duration)) {
+	in.atCall[id], in.ended[id] = atCall, ended
+	in.say("serve", id)
+}
+
+func (in *instance) Share(id choice.OpID, ended func(choice.Ending, time.Duration)) {
+	in.ended[id] = ended
+	in.say("attach", id)
+}
+
+func (in *instance) Stop(id choice.OpID) { in.say("take-off", id) }
+func (in *instance) Fail(id choice.OpID) { in.say("end-failed", id) }
+
+func (in *instance) Nack(id choice.OpID, stayAway time.Duration, nowhereElse bool) {
+	in.say("shed", id, stayAway, nowhereElse)
+}
+
+func (in *instance) Call(id choice.OpID, until time.Duration, done func(choice.Ending, time.Duration)) {
+	in.called[id] = done
+	in.say("call", id, until)
+}
+
+func (in *instance) SkipCall(id choice.OpID)                    { in.say("fall-back", id) }
+func (in *instance) KeepKey(id choice.OpID, span time.Duration) { in.say("store-key", id, span) }
+func (in *instance) DropKey(id choice.OpID)                     { in.say("unpin", id) }
+func (in *instance) Health(good, fromState bool)                { in.say("mark-health", good, fromState) }
+func (in *instance) Signal(level float64)                       { in.say("hint-out", level) }
+func (in *instance) Note(text string)                           { in.say("print", text) }
+func (in *instance) Wake(at time.Duration, then func(map[string]float64)) {
+	in.armed++
+	token := strconv.FormatUint(in.armed, 10)
+	in.wakes[token] = then
+	in.say("arm", at, token)
+}
--- /dev/null
+++ b/internal/wire/facts.go
@@ -0,0 +1,210 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"lanewheel/choice"
+)
+
+// reader turns one value of the start message into ours, nil if it is of the wrong type.
+type reader func(*fastjson.Value) any
+
+// fact is one translated name; path is where it stands on the wire.
+type fact struct {
+	path []string
+	name string
+	read reader
+}
+
+func at(name string, read reader, path ...string) fact { return fact{path, name, read} }
+
+var startNames = []fact{
+	at("op types", list(opTypeNames), "classes"),
+	at("tenants", list(tenantNames), "tenants"),
+	at("tries are marked", flag, "clients", "marks-retry"),
+	at("below", word(map[string]string{"common": "shared", "next_hop": "next tier", "silent": "none"}),
+		"domain", "below"),
+	at("calls over", span, "domain", "calls-over-s"),
+	at("call share", number, "domain", "dep-share"),
+	at("calls below by type", flags, "domain", "class-calls"),
+	at("skip share by type", numbers, "domain", "class-skip-worth"),
+	at("callers", number, "domain", "clients-total"),
+	at("cores", number, "domain", "cpus"),
+	at("just started", flag, "domain", "fresh-start"),
+	at("shared reads for", span, "domain", "fresh-s"),
+	at("halt", word(map[string]string{"silent": "none"}), "domain", "halt"),
+	at("hears when callers leave", flag, "domain", "hangup-seen"),
+	at("signal heard for", span, "domain", "heard-for-s"),
+	at("key KB", number, "domain", "key-kb"),
+	at("given-up call lingers", span, "domain", "linger-s"),
+	at("memory KB", number, "domain", "memory-kb"),
+	at("run memory factor", number, "domain", "run-mem-factor"),
+	at("signal", word(map[string]string{"min_rank": "least rank", "bias": "chance", "silent": "none"}),
+		"domain", "signal"),
+	at("fleet size", number, "fleet-size"),
+	at("over-share importance", number, "over-share-worth"),
+	at("longest stay away", span, "policy-limits", "max-retry-after-s"),
+	at("stay away is passed on", flag, "policy-limits", "retry-after"),
+	at("drain grace", span, "rules", "drain-grace-s"),
+	at("crowd a core", number, "rules", "fall-multiple"),
+	at("crowd over", span, "rules", "tip-after-s"),
+	at("cold speed share", number, "rules", "start-capacity"),
+	at("warm within", span, "rules", "warm-within-s"),
+	at("tick", span, "tick-s"),
+}
+
+var opTypeNames = []fact{
+	at("name", text, "name"),
+	at("importance", number, "credit"),
+	at("target latency", span, "promise-s"),
+	at("target stretch", number, "aim-stretch"),
+	at("op timeout", span, "give-up-s"),
+	at("late share", number, "late-share"),
+	at("repeat window", span, "dedup-window-s"),
+	at("repeats", word(map[string]string{
+		"idempotent": "retryable", "deduplicated": "keyed", "at_most_once": "non-retryable",
+	}), "repeat"),
+}
+
+var tenantNames = []fact{
+	at("name", text, "name"),
+	at("quota a second", number, "quota-per-s"),
+	at("share", number, "portion"),
+}
+
+var gaugeNames = map[string]string{
+	"cpu_busy": "cores busy", "runnable": "want a core", "mem_used": "memory used", "sockets": "connections",
+}
+
+func gaugeName(s string) string {
+	if ours, known := gaugeNames[s]; known {
+		return ours
+	}
+	return s
+}
+
+func startFacts(info *fastjson.Value) (choice.Facts, error) {
+	facts, err := translate(info, startNames)
+	if err != nil {
+		return nil, fmt.Errorf("boot-info: %w", err)
+	}
+	if cores, told := facts["cores"].(float64); !told || cores < 1 {
+		return nil, fmt.Errorf("boot-info: domain.cpus: wants a number of 1 or more")
+	}
+	if types, told := facts["op types"].([]choice.Facts); !told || len(types) == 0 {
+		return nil, fmt.Errorf("boot-info: classes: wants a list that is not empty")
+	}
+	return facts, nil
+}
+
+// translate picks the named values out of an object. Absent and unknown ones are passed over.
+func translate(from *fastjson.Value, names []fact) (choice.Facts, error) {
+	facts := choice.Facts{}
+	for _, n := range names {
+		v := from.Get(n.path...)
+		if v == nil || v.Type() == fastjson.TypeNull {
+			continue
+		}
+		got := n.read(v)
+		if err, bad := got.(error); bad {
+			return nil, fmt.Errorf("%v: %w", n.path, err)
+		}
+		if got == nil {
+			return nil, fmt.Errorf("%v: is a %s, which is the wrong type", n.path, v.Type())
+		}
+		facts[n.name] = got
+	}
+	return facts, nil
+}
+
+func list(names []fact) reader {
+	return func(v *fastjson.Value) any {
+		items, err := v.Array()
+		if err != nil {
+			return nil
+		}
+		out := []choice.Facts{}
+		for _, item := range items {
+			if item.Type() != fastjson.TypeObject {
+				return nil
+			}
+			one, err := translate(item, names)
+			if err != nil {
+				return err
+			}
+			if _, named := one["name"]; !named {
+				return fmt.Errorf("an item has no name")
+			}
+			out = append(out, one)
+		}
+		return out
+	}
+}
+
+func number(v *fastjson.Value) any {
+	if x, err := v.Float64(); err == nil {
+		return x
+	}
+	return nil
+}
+
+func span(v *fastjson.Value) any {
+	if x, err := v.Float64(); err == nil {
+		return seconds(x)
+	}
+	return nil
+}
+
+func flag(v *fastjson.Value) any {
+	if x, err := v.Bool(); err == nil {
+		return x
+	}
+	return nil
+}
+
+func text(v *fastjson.Value) any {
+	if v.Type() == fastjson.TypeString {
+		return string(v.GetStringBytes())
+	}
+	return nil
+}
+
+// word reads text and gives ours for the words in the table, the rest as they come.
+func word(ours map[string]string) reader {
+	return func(v *fastjson.Value) any {
+		s, isText := text(v).(string)
+		if !isText {
+			return nil
+		}
+		if w, known := ours[s]; known {
+			return w
+		}
+		return s
+	}
+}
+
+func flags(v *fastjson.Value) any {
+	out := []bool{}
+	for _, item := range v.GetArray() {
+		x, err := item.Bool()
+		if err != nil {
+			return nil
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func numbers(v *fastjson.Value) any {
+	out := []float64{}
+	for _, item := range v.GetArray() {
+		x, err := item.Float64()
+		if err != nil {
+			return nil
+		}
+		out = append(out, x)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wire/write.go
@@ -0,0 +1,49 @@
+package wire
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"lanewheel/choice"
+)
+
+// Reply gathers the lines of one reply.
+type Reply struct{ buf []byte }
+
+// Close ends the reply, gives its text and makes room for the next.
+func (r *Reply) Close() []byte {
+	out := append(r.buf, "[\"eor\"]\n"...)
+	r.buf = r.buf[:0]
+	return out
+}
+
+// Say adds one line: the name of an action, the instance and the action's values.
+func (r *Reply) Say(name string, who int, values ...any) {
+	r.buf = append(r.buf, '[')
+	r.buf = strconv.AppendQuote(r.buf, name)
+	r.buf = append(r.buf, ',')
+	r.buf = strconv.AppendInt(r.buf, int64(who), 10)
+	for _, v := range values {
+		r.buf = append(r.buf, ',')
+		switch v := v.(type) {
+		case choice.OpID:
+			r.text(string(v))
+		case string:
+			r.text(v)
+		case bool:
+			r.buf = strconv.AppendBool(r.buf, v)
+		case float64:
+			r.buf = strconv.AppendFloat(r.buf, v, 'f', 6, 64)
+		case time.Duration:
+			r.buf = strconv.AppendFloat(r.buf, math.Max(0, v.Seconds()), 'f', 6, 64)
+		}
+	}
+	r.buf = append(r.buf, ']', '\n')
+}
+
+func (r *Reply) text(s string) {
+	quoted, _ := json.Marshal(s) // a string always has a JSON form
+	r.buf = append(r.buf, quoted...)
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,13 @@
+#!/bin/bash
+# Format, vet, build and tests; needs Go and the module proxy, nothing else.
+set -euo pipefail
+cd "$(dirname "$0")"
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+	echo "gofmt would change: $unformatted"
+	exit 1
+fi
+go vet ./...
+mkdir -p bin
+go build -o bin/ ./cmd/...
+go test -count=1 ./...
