--- a/choice/choice.go
+++ b/choice/choice.go
@@ -112,6 +112,7 @@
 }
 type from struct {
 	at     time.Duration
+	lay    time.Duration
 	caller CallerID
 	rank   float64
 }
@@ -181,7 +182,7 @@
 	d.ops[a.ID] = o
 	d.hold = append(d.hold, o)
 	o.giveUp = func() { d.nack(o) }
-	d.callers = lastOf(d.callers, from{now, a.Caller, a.Rank}, 64)
+	d.callers = lastOf(d.callers, from{now, a.Lay, a.Caller, a.Rank}, 64)
 	o.overShare = d.beyondQuota(o, now)
 
 	// Danger: an effect that happens twice. A repeat never gets a run; it gets the first one's result.
@@ -971,12 +972,22 @@
 	for _, k := range d.types {
 		target = min(target, k.target)
 	}
-	// Half a target latency of waiting work is as much as can still be done in time.
-	wait := float64(waiting) / float64(d.cores) / (float64(target) / 2)
+	// Half a target latency of waiting is as much as can still be done in time: unread, then held.
+	wait := (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / (float64(target) / 2)
 	well := 1 - d.failShare(now)
 	return max(0, 1-wait) * well * well * d.speedShare()
 }
 
+// unread is how long ops have lately lain unread, the worst of the last half second.
+// Danger: reading eats the cores while the hold is short, and all that is read has spent its time already.
+func (d *Desk) unread(now time.Duration) time.Duration {
+	var lay time.Duration
+	for i := len(d.callers) - 1; i >= 0 && d.callers[i].at > now-500*time.Millisecond; i-- {
+		lay = max(lay, d.callers[i].lay)
+	}
+	return lay
+}
+
 // signal turns the welcome into the value that the site's callers go by.
 func (d *Desk) signal(now time.Duration) {
 	level := 0.0
