--- a/choice/choice.go
+++ b/choice/choice.go
@@ -649,7 +649,13 @@
 			break
 		}
 	}
-	return min(max(n, d.cores+d.offCores()), d.crowdCeiling())
+	n = min(max(n, d.cores+d.offCores()), d.crowdCeiling())
+	// Danger: runs keep the cores from reading, so that all is read too late, refusals reach nobody, and what
+	// timed out comes again. Once ops lie unread for a quarter of a target latency, fewer run the longer they lie.
+	if over := d.unread(now) - d.target()/4; over > 0 {
+		n = max(1, int(float64(n)*(1-float64(over)/float64(d.target()/4))))
+	}
+	return n
 }
 
 // offCores is how many runs wait for something else than a core, by the last gauges. Without them the
@@ -968,16 +974,21 @@
 	for _, o := range d.hold {
 		waiting += d.work(o)
 	}
-	target := time.Duration(math.MaxInt64)
-	for _, k := range d.types {
-		target = min(target, k.target)
-	}
 	// Half a target latency of waiting is as much as can still be done in time: unread, then held.
-	wait := (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / (float64(target) / 2)
+	wait := (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / float64(d.target()/2)
 	well := 1 - d.failShare(now)
 	return max(0, 1-wait) * well * well * d.speedShare()
 }
 
+// target is the least target latency.
+func (d *Desk) target() time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, k := range d.types {
+		least = min(least, k.target)
+	}
+	return least
+}
+
 // unread is how long ops have lately lain unread, the worst of the last half second.
 // Danger: reading eats the cores while the hold is short, and all that is read has spent its time already.
 func (d *Desk) unread(now time.Duration) time.Duration {
