--- a/choice/choice.go
+++ b/choice/choice.go
@@ -103,6 +103,7 @@
 	at             time.Duration
 	wanting        float64 // things that want a core, by gauge; -1 where there is none
 	busy           float64
+	pressure       float64
 	running        int
 	waitingForCore bool
 }
@@ -321,7 +322,7 @@
 	if o.kind.repeats == "keyed" && o.RepeatsOf == "" {
 		d.port.DropKey(o.ID) // it never ran here: a later try is free to
 	}
-	d.port.Nack(o.ID, d.stayAway(), false)
+	d.port.Nack(o.ID, d.stayAway(), d.crowdedOut())
 	d.forget(o)
 }
 
@@ -701,14 +702,14 @@
 // look takes the gauges of a moment, and lets the limit grow by one while cores idle and work waits.
 func (d *Desk) look(gauges map[string]float64) {
 	now := d.port.Now()
-	l := look{at: now, wanting: -1, busy: 1, running: len(d.running)}
+	l := look{at: now, wanting: -1, busy: 1, running: len(d.running), pressure: d.pressure(now)}
 	if w, told := gauges["want a core"]; told {
 		l.wanting = w
 	}
 	if b, told := gauges["cores busy"]; told {
 		l.busy = b
 	}
-	d.looks = lastOf(d.looks, l, 8)
+	d.looks = lastOf(d.looks, l, 10)
 	idle := l.busy < 0.95
 	crowded := false
 	if l.wanting >= 0 {
@@ -970,14 +971,44 @@
 	case "failing":
 		return 0.05
 	}
+	well := 1 - d.failShare(now)
+	return well * well * d.speedShare() / (1 + 4*d.pressed(now))
+}
+
+// pressure is the waiting, unread then held, against half a target latency: as much as can still be done in
+// time.
+func (d *Desk) pressure(now time.Duration) float64 {
 	var waiting time.Duration
 	for _, o := range d.hold {
 		waiting += d.work(o)
 	}
-	// Half a target latency of waiting is as much as can still be done in time: unread, then held.
-	wait := (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / float64(d.target()/2)
-	well := 1 - d.failShare(now)
-	return max(0, 1-wait) * well * well * d.speedShare()
+	return (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / float64(d.target()/2)
+}
+
+// pressed is the pressure now or in the mean of the last second, whichever is more: callers compare us with
+// others, and a signal that jumps back at each lull draws them all at once.
+func (d *Desk) pressed(now time.Duration) float64 {
+	var sum float64
+	n := 0
+	for _, l := range d.looks {
+		if l.at > now-time.Second {
+			sum += l.pressure
+			n++
+		}
+	}
+	return max(d.pressure(now), sum/float64(max(1, n)))
+}
+
+// crowdedOut tells that the pressure has lasted for a second in spite of the signal: then the others are no
+// better off, and a nacked op that walks on through them only costs each its reading.
+// It can hurt where few callers heed the signal and the others are idle.
+func (d *Desk) crowdedOut() bool {
+	for _, l := range d.looks {
+		if l.pressure < 0.4 {
+			return false
+		}
+	}
+	return len(d.looks) == 10
 }
 
 // target is the least target latency.
