--- a/choice/choice.go
+++ b/choice/choice.go
@@ -561,15 +561,43 @@
 	for _, s := range ran {
 		sum += time.Duration(float64(s.took) / d.perCore(s.crowd))
 	}
-	return time.Duration(float64(sum) / float64(len(ran)) * scale(o, ran))
+	return time.Duration(float64(sum) / float64(len(ran)) * d.scale(o, ran))
 }
 
-// scale holds a hint to a quarter and eight times the mean, since it may be rough.
-func scale(o *op, ran []sample) float64 {
-	if mean := meanHint(ran); mean > 0 && o.Hint > 0 {
-		return min(8, max(0.25, float64(o.Hint)/float64(mean)))
+// scale is how much longer than the mean an op of this hint runs: a line through the last runs, as a part of
+// each, waits on disk and calls above all, does not grow with the hint; in proportion while these are few.
+// It is held to a quarter and eight times, since a hint may be rough.
+func (d *Desk) scale(o *op, ran []sample) float64 {
+	mean := meanHint(ran).Seconds()
+	if mean <= 0 || o.Hint <= 0 {
+		return 1
+	}
+	far := o.Hint.Seconds()/mean - 1
+	points := make([]point, len(ran))
+	for i, s := range ran {
+		points[i] = point{s.hint.Seconds() / mean, s.took.Seconds() / d.perCore(s.crowd)}
+	}
+	if at, slope, sure := line(points, 0.1); sure && at > 0 {
+		far *= min(1, max(0.25, slope/at))
+	}
+	return min(8, max(0.25, 1+far))
+}
+
+type point struct{ x, y float64 }
+
+// line fits by least squares: the mean of y, the slope, and whether eight points with this much deviation
+// in x are there to give one.
+func line(points []point, deviation float64) (mean, slope float64, sure bool) {
+	n := float64(len(points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range points {
+		sx, sy, sxx, sxy = sx+p.x, sy+p.y, sxx+p.x*p.x, sxy+p.x*p.y
+	}
+	spread := sxx*n - sx*sx
+	if n < 8 || spread < n*n*deviation*deviation {
+		return 0, 0, false
 	}
-	return 1
+	return sy / n, (sxy*n - sx*sy) / spread, true
 }
 
 func (d *Desk) perCore(running float64) float64 { return max(1, running/float64(d.cores)) }
@@ -583,19 +611,17 @@
 // or, while these are few or all of one crowd, in proportion to running per core.
 func (d *Desk) fitted(k *opType, running int) time.Duration {
 	ran := k.recent(d.port.Now())
-	n := float64(len(ran))
-	var sx, sy, sxx, sxy float64
-	for _, s := range ran {
-		y := s.took.Seconds()
-		sx, sy, sxx, sxy = sx+s.crowd, sy+y, sxx+s.crowd*s.crowd, sxy+s.crowd*y
-	}
-	spread := sxx*n - sx*sx
-	if n < 8 || spread < n*n { // eight runs and a deviation of one op: less gives no slope
+	points := make([]point, len(ran))
+	var crowd float64
+	for i, s := range ran {
+		points[i] = point{s.crowd, s.took.Seconds()}
+		crowd += s.crowd / float64(len(ran))
+	}
+	mean, slope, sure := line(points, 1)
+	if !sure {
 		return d.timeFor(&op{kind: k}, running)
 	}
-	slope := max(0, (sxy*n-sx*sy)/spread)
-	at := sy/n + slope*(float64(running)-sx/n)
-	return time.Duration(max(at, 0) * float64(time.Second))
+	return time.Duration(max(mean+max(0, slope)*(float64(running)-crowd), 0) * float64(time.Second))
 }
 
 // slack is the paper's s: arrival plus target latency minus now.
