--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,134 +3,17 @@
 // How to invoke it: Open a Desk at the start of the process with its seed, its start facts and a Port; call
 // Read for each op read, Gone when a caller has left, Leave when the instance is told to go, and Settle once
 // after each batch of these. What an op does next is handed to the Port as closures. The interface is in
-// port.go; the reasons are in docs/design.md, which cites the paper by the symbols named here.
+// port.go, the state in state.go; the reasons are in docs/design.md, which cites the paper by its symbols.
 package choice
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 	"sort"
 	"time"
 )
 
-// ---- What the instance is told at its start
-
-func (f Facts) num(name string) float64        { x, _ := f[name].(float64); return x }
-func (f Facts) span(name string) time.Duration { x, _ := f[name].(time.Duration); return x }
-func (f Facts) flag(name string) bool          { x, _ := f[name].(bool); return x }
-func (f Facts) text(name string) string        { x, _ := f[name].(string); return x }
-
-// Desk holds the decisions of one instance.
-type Desk struct {
-	port   Port
-	facts  Facts
-	seed   uint64
-	drawn  uint64 // the counter behind chance
-	began  time.Duration
-	cores  int
-	types  map[OpType]*opType
-	tenant map[TenantID]*tenant
-
-	ops     map[OpID]*op // all that is owed an answer or still on the cores
-	hold    []*op        // read and unstarted, by arrival
-	running []*op        // started and not at a call
-	calling []*op        // started and standing at a call, or in one
-	sharing []*op        // waiting for the result of the op they repeat
-	kept    []entry      // keys that use memory
-	calls   []call       // the last calls made, for the mean in hand
-
-	grown    int     // the running count that idle cores have let us reach
-	grownAt  int     // endings seen when it last grew
-	endings  int     // endings seen
-	looks    []look  // the last gauges
-	results  []ended // the last endings, for the share that failed
-	callers  []from  // the last arrivals, for their spread over callers and ranks
-	lastLife time.Duration
-
-	leaving  bool
-	toldAt   time.Duration // when it was told to leave
-	killAt   time.Duration
-	state    string
-	probedAt time.Duration
-	level    float64       // the signal last given
-	wakeAt   time.Duration // the timer that is set, 0 for none
-}
-
-type op struct {
-	Arrival
-	kind      *opType
-	came      time.Duration // at the machine, not when read: the paper's a
-	due       time.Duration // when its answer is owed
-	started   time.Duration
-	crowd     int // running when it started
-	tries     int // calls made at the call where it stands
-	inCall    bool
-	answered  bool
-	overShare bool
-	giveUp    func() // what its present step does when the answer falls due
-}
-
-type opType struct {
-	name       OpType
-	index      int
-	importance float64
-	target     time.Duration
-	timeout    time.Duration
-	lateShare  float64
-	repeats    string
-	window     time.Duration
-	ran        []sample // the last runs
-}
-
-type tenant struct {
-	quota float64
-	came  []time.Duration // the last arrivals
-}
-
-type sample struct {
-	at, took, hint time.Duration
-	crowd          float64 // running, mean of its start and end
-}
-type entry struct{ until time.Duration }
-type call struct {
-	from, until time.Duration
-	open        bool
-}
-type look struct {
-	at             time.Duration
-	wanting        float64 // things that want a core, by gauge; -1 where there is none
-	busy           float64
-	pressure       float64
-	running        int
-	waitingForCore bool
-}
-type ended struct {
-	at     time.Duration
-	failed bool
-}
-type from struct {
-	at     time.Duration
-	lay    time.Duration
-	caller CallerID
-	rank   float64
-}
-
-// lastOf appends and keeps the last n.
-func lastOf[T any](list []T, x T, n int) []T {
-	list = append(list, x)
-	if len(list) > n {
-		list = slices.Delete(list, 0, len(list)-n)
-	}
-	return list
-}
-
-func without(list []*op, o *op) []*op {
-	return slices.DeleteFunc(list, func(x *op) bool { return x == o })
-}
-
 // Open makes the desk of an instance that has just come up.
 func Open(seed uint64, facts Facts, port Port) *Desk {
 	d := &Desk{port: port, facts: facts, seed: seed, began: port.Now(), state: "well", level: -1,
@@ -140,7 +23,8 @@
 	kinds, _ := facts["op types"].([]Facts)
 	for i, k := range kinds {
 		t := &opType{name: OpType(k.text("name")), index: i, importance: k.num("importance"),
-			target: k.span("target latency"), timeout: k.span("op timeout"), lateShare: k.num("late share"),
+			target: k.span("target latency"), stretch: k.num("target stretch"),
+			timeout: k.span("op timeout"), lateShare: k.num("late share"),
 			repeats: k.text("repeats"), window: k.span("repeat window")}
 		d.types[t.name] = t
 	}
@@ -153,17 +37,6 @@
 	return d
 }
 
-// chance draws from 0 to 1 by the instance's seed and a counter.
-func (d *Desk) chance() float64 {
-	d.drawn++
-	h := fnv.New64a()
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], d.seed)
-	binary.LittleEndian.PutUint64(b[8:], d.drawn)
-	h.Write(b[:])
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
 // ---- Ops come in
 
 // Read takes an op that has just been read.
@@ -180,6 +53,10 @@
 		o.due = a.ToldWait
 	}
 	o.due = max(o.due, now)
+	o.target = kind.target
+	if kind.stretch > 0 {
+		o.target = min(kind.timeout, o.target+time.Duration(kind.stretch*float64(d.work(o))))
+	}
 	d.ops[a.ID] = o
 	d.hold = append(d.hold, o)
 	o.giveUp = func() { d.nack(o) }
@@ -247,36 +124,11 @@
 	if d.memory()+d.facts.num("key KB") > d.memoryRoom() {
 		return false
 	}
-	d.kept = append(d.kept, entry{now + span})
+	d.kept = append(d.kept, entry{o.ID, now + span})
 	d.port.KeepKey(o.ID, span)
 	return true
 }
 
-func (d *Desk) keyMemory() float64 {
-	now := d.port.Now()
-	d.kept = slices.DeleteFunc(d.kept, func(e entry) bool { return e.until+d.facts.span("tick") < now })
-	return float64(len(d.kept)) * d.facts.num("key KB")
-}
-
-// memory is what held and running ops and keys use now.
-func (d *Desk) memory() float64 {
-	kb := d.keyMemory()
-	factor := max(1, d.facts.num("run memory factor"))
-	for _, o := range d.hold {
-		kb += o.KB
-	}
-	for _, o := range d.sharing {
-		kb += o.KB
-	}
-	for _, o := range d.running {
-		kb += o.KB * factor
-	}
-	for _, o := range d.calling {
-		kb += o.KB * factor
-	}
-	return kb
-}
-
 // memoryRoom leaves a twelfth free, for what is read while a reply is on its way.
 func (d *Desk) memoryRoom() float64 {
 	if kb := d.facts.num("memory KB"); kb > 0 {
@@ -307,12 +159,6 @@
 
 // ---- Answers
 
-func (d *Desk) forget(o *op) {
-	d.hold, d.sharing = without(d.hold, o), without(d.sharing, o)
-	d.running, d.calling = without(d.running, o), without(d.calling, o)
-	delete(d.ops, o.ID)
-}
-
 // nack turns away an op that has not run, with advice on how long to keep away.
 func (d *Desk) nack(o *op) {
 	if o.answered {
@@ -321,6 +167,7 @@
 	o.answered = true
 	if o.kind.repeats == "keyed" && o.RepeatsOf == "" {
 		d.port.DropKey(o.ID) // it never ran here: a later try is free to
+		d.kept = slices.DeleteFunc(d.kept, func(e entry) bool { return e.id == o.ID })
 	}
 	d.port.Nack(o.ID, d.stayAway(), d.crowdedOut())
 	d.forget(o)
@@ -429,14 +276,6 @@
 	}
 }
 
-func (d *Desk) skipShare(k *opType) float64 {
-	shares, _ := d.facts["skip share by type"].([]float64)
-	if k.index < len(shares) {
-		return shares[k.index]
-	}
-	return 0
-}
-
 // callRoom bounds the calls in hand by the told share, at any moment and in the mean. With a tier below no
 // share is told; two calls a core keep the cores busy while calls are no slower than runs.
 // Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
@@ -457,22 +296,12 @@
 	return float64(d.callsInHand(now)+1) <= max(1, share) && held.Seconds() < 0.9*share*over.Seconds()
 }
 
-func (d *Desk) callsInHand(now time.Duration) int {
-	n := 0
-	for _, c := range d.calls {
-		if c.open || c.until > now {
-			n++
-		}
-	}
-	return n
-}
-
 func (d *Desk) call(o *op, now time.Duration) {
 	o.inCall = true
 	o.tries++
 	over := max(d.facts.span("calls over"), time.Second)
 	d.calls = slices.DeleteFunc(d.calls, func(c call) bool { return !c.open && c.until < now-over })
-	d.calls = append(d.calls, call{from: now, open: true})
+	d.calls = append(d.calls, call{id: o.ID, from: now, open: true})
 	until := o.due - 2*d.facts.span("tick")
 	if d.skipShare(o.kind) > 0 && d.slack(o, now) > 0 {
 		until = now + d.slack(o, now)*2/3 // leaves time for the poorer answer
@@ -481,20 +310,6 @@
 	d.port.Call(o.ID, until, func(how Ending, took time.Duration) { d.called(o, how) })
 }
 
-// closeCall notes that one call is no longer open.
-func (d *Desk) closeCall(o *op, until time.Duration) {
-	if !o.inCall {
-		return
-	}
-	o.inCall = false
-	for i := range d.calls {
-		if d.calls[i].open {
-			d.calls[i].open, d.calls[i].until = false, until
-			return
-		}
-	}
-}
-
 func (d *Desk) called(o *op, how Ending) {
 	now := d.port.Now()
 	until := now
@@ -540,14 +355,6 @@
 	return k.ran
 }
 
-func meanHint(ran []sample) time.Duration {
-	var sum time.Duration
-	for _, s := range ran {
-		sum += s.hint
-	}
-	return sum / time.Duration(max(1, len(ran)))
-}
-
 // work is the paper's r: the mean run time over running per core, scaled by the hint over the mean hint.
 func (d *Desk) work(o *op) time.Duration {
 	ran := o.kind.recent(d.port.Now())
@@ -565,7 +372,8 @@
 }
 
 // scale is how much longer than the mean an op of this hint runs: a line through the last runs, as a part of
-// each, waits on disk and calls above all, does not grow with the hint; in proportion while these are few.
+// each, waits on disk and calls above all, does not grow with the hint; in proportion while they are under
+// eight or their hints nearly alike.
 // It is held to a quarter and eight times, since a hint may be rough.
 func (d *Desk) scale(o *op, ran []sample) float64 {
 	mean := meanHint(ran).Seconds()
@@ -577,31 +385,12 @@
 	for i, s := range ran {
 		points[i] = point{s.hint.Seconds() / mean, s.took.Seconds() / d.perCore(s.crowd)}
 	}
-	if at, slope, sure := line(points, 0.1); sure && at > 0 {
+	if at, slope, spread := line(points); len(points) >= 8 && spread > 0.01 && at > 0 {
 		far *= min(1, max(0.25, slope/at))
 	}
 	return min(8, max(0.25, 1+far))
 }
 
-type point struct{ x, y float64 }
-
-// line fits by least squares: the mean of y, the slope, and whether eight points with this much deviation
-// in x are there to give one.
-func line(points []point, deviation float64) (mean, slope float64, sure bool) {
-	n := float64(len(points))
-	var sx, sy, sxx, sxy float64
-	for _, p := range points {
-		sx, sy, sxx, sxy = sx+p.x, sy+p.y, sxx+p.x*p.x, sxy+p.x*p.y
-	}
-	spread := sxx*n - sx*sx
-	if n < 8 || spread < n*n*deviation*deviation {
-		return 0, 0, false
-	}
-	return sy / n, (sxy*n - sx*sy) / spread, true
-}
-
-func (d *Desk) perCore(running float64) float64 { return max(1, running/float64(d.cores)) }
-
 // timeFor is the paper's T: r times running per core, with so many running.
 func (d *Desk) timeFor(o *op, running int) time.Duration {
 	return time.Duration(float64(d.work(o)) * d.perCore(float64(running)))
@@ -617,16 +406,13 @@
 		points[i] = point{s.crowd, s.took.Seconds()}
 		crowd += s.crowd / float64(len(ran))
 	}
-	mean, slope, sure := line(points, 1)
-	if !sure {
+	mean, slope, spread := line(points)
+	if len(points) < 8 || spread < 1 { // eight runs and a deviation of one op: less gives no slope
 		return d.timeFor(&op{kind: k}, running)
 	}
 	return time.Duration(max(mean+max(0, slope)*(float64(running)-crowd), 0) * float64(time.Second))
 }
 
-// slack is the paper's s: arrival plus target latency minus now.
-func (d *Desk) slack(o *op, now time.Duration) time.Duration { return o.came + o.kind.target - now }
-
 // left is the time in which an op can still earn: to its target latency, or to the answer that is owed where
 // a late one earns half or more; never past the kill.
 func (d *Desk) left(o *op, now time.Duration) time.Duration {
@@ -678,7 +464,7 @@
 	}
 	n = min(max(n, d.cores+d.offCores()), d.crowdCeiling())
 	// Danger: runs keep the cores from reading, so that all is read too late, refusals reach nobody, and what
-	// timed out comes again. Once ops lie unread for a quarter of a target latency, fewer run the longer they lie.
+	// timed out comes again. From a quarter of a target latency unread on, fewer run the longer ops lie.
 	if over := d.unread(now) - d.target()/4; over > 0 {
 		n = max(1, int(float64(n)*(1-float64(over)/float64(d.target()/4))))
 	}
@@ -1037,15 +823,6 @@
 	return len(d.looks) == 10
 }
 
-// target is the least target latency.
-func (d *Desk) target() time.Duration {
-	least := time.Duration(math.MaxInt64)
-	for _, k := range d.types {
-		least = min(least, k.target)
-	}
-	return least
-}
-
 // unread is how long ops have lately lain unread, the worst of the last half second.
 // Danger: reading eats the cores while the hold is short, and all that is read has spent its time already.
 func (d *Desk) unread(now time.Duration) time.Duration {
@@ -1093,23 +870,6 @@
 	return float64(d.limit(now)) + float64(d.cores)*float64(target)/2/float64(max(work, time.Millisecond))
 }
 
-// spread is over how many callers the last arrivals were spread; a caller with most of them counts most.
-func (d *Desk) spread() float64 {
-	counts := map[CallerID]float64{}
-	for _, c := range d.callers {
-		counts[c.caller]++
-	}
-	var squares float64
-	for _, n := range counts { // whole numbers: their sum does not depend on the order
-		squares += n * n
-	}
-	if squares == 0 {
-		return max(1, d.facts.num("callers"))
-	}
-	total := float64(len(d.callers))
-	return total * total / squares
-}
-
 // ---- The round
 
 // leaveMargin before the kill all is answered; a pause of the process may come in between.
@@ -1127,12 +887,6 @@
 	d.setWake(now)
 }
 
-// owed are the ops that wait for an answer, in a fixed order.
-func (d *Desk) owed() []*op {
-	all := slices.Concat(d.hold, d.sharing, d.running, d.calling)
-	return slices.DeleteFunc(all, func(o *op) bool { return o.answered })
-}
-
 // dueAt is when an answer is sent at the latest: two ticks before it is owed, and before the kill.
 func (d *Desk) dueAt(o *op) time.Duration {
 	at := o.due - 2*d.facts.span("tick")
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,265 @@
+package choice
+
+// State and helpers of the module: no decisions and no tuned values stand here.
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+func (f Facts) num(name string) float64        { x, _ := f[name].(float64); return x }
+func (f Facts) span(name string) time.Duration { x, _ := f[name].(time.Duration); return x }
+func (f Facts) flag(name string) bool          { x, _ := f[name].(bool); return x }
+func (f Facts) text(name string) string        { x, _ := f[name].(string); return x }
+
+// Desk holds the decisions of one instance.
+type Desk struct {
+	port   Port
+	facts  Facts
+	seed   uint64
+	drawn  uint64 // the counter behind chance
+	began  time.Duration
+	cores  int
+	types  map[OpType]*opType
+	tenant map[TenantID]*tenant
+
+	ops     map[OpID]*op // all that is owed an answer or still on the cores
+	hold    []*op        // read and unstarted, by arrival
+	running []*op        // started and not at a call
+	calling []*op        // started and standing at a call, or in one
+	sharing []*op        // waiting for the result of the op they repeat
+	kept    []entry      // keys that use memory
+	calls   []call       // the last calls made, for the mean in hand
+
+	grown    int     // the running count that idle cores have let us reach
+	grownAt  int     // endings seen when it last grew
+	endings  int     // endings seen
+	looks    []look  // the last gauges
+	results  []ended // the last endings, for the share that failed
+	callers  []from  // the last arrivals, for their spread over callers and ranks
+	lastLife time.Duration
+
+	leaving  bool
+	toldAt   time.Duration // when it was told to leave
+	killAt   time.Duration
+	state    string
+	probedAt time.Duration
+	level    float64       // the signal last given
+	wakeAt   time.Duration // the timer that is set, 0 for none
+}
+
+type op struct {
+	Arrival
+	kind      *opType
+	came      time.Duration // at the machine, not when read: the paper's a
+	due       time.Duration // when its answer is owed
+	target    time.Duration // its target latency
+	started   time.Duration
+	crowd     int // running when it started
+	tries     int // calls made at the call where it stands
+	inCall    bool
+	answered  bool
+	overShare bool
+	giveUp    func() // what its present step does when the answer falls due
+}
+
+type opType struct {
+	name       OpType
+	index      int
+	importance float64
+	target     time.Duration
+	stretch    float64 // the target grows by so many times the work
+	timeout    time.Duration
+	lateShare  float64
+	repeats    string
+	window     time.Duration
+	ran        []sample // the last runs
+}
+
+type tenant struct {
+	quota float64
+	came  []time.Duration // the last arrivals
+}
+
+type sample struct {
+	at, took, hint time.Duration
+	crowd          float64 // running, mean of its start and end
+}
+type entry struct {
+	id    OpID
+	until time.Duration
+}
+type call struct {
+	id          OpID
+	from, until time.Duration
+	open        bool
+}
+type look struct {
+	at             time.Duration
+	wanting        float64 // things that want a core, by gauge; -1 where there is none
+	busy           float64
+	pressure       float64
+	running        int
+	waitingForCore bool
+}
+type ended struct {
+	at     time.Duration
+	failed bool
+}
+type from struct {
+	at     time.Duration
+	lay    time.Duration
+	caller CallerID
+	rank   float64
+}
+
+// lastOf appends and keeps the last n.
+func lastOf[T any](list []T, x T, n int) []T {
+	list = append(list, x)
+	if len(list) > n {
+		list = slices.Delete(list, 0, len(list)-n)
+	}
+	return list
+}
+
+func without(list []*op, o *op) []*op {
+	return slices.DeleteFunc(list, func(x *op) bool { return x == o })
+}
+
+// chance draws from 0 to 1 by the instance's seed and a counter.
+func (d *Desk) chance() float64 {
+	d.drawn++
+	h := fnv.New64a()
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], d.seed)
+	binary.LittleEndian.PutUint64(b[8:], d.drawn)
+	h.Write(b[:])
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+type point struct{ x, y float64 }
+
+// line fits by least squares: the mean of y, the slope, and the variance of x that it stands on.
+func line(points []point) (mean, slope, variance float64) {
+	n := float64(len(points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range points {
+		sx, sy, sxx, sxy = sx+p.x, sy+p.y, sxx+p.x*p.x, sxy+p.x*p.y
+	}
+	spread := sxx*n - sx*sx
+	if n == 0 || spread <= 0 {
+		return 0, 0, 0
+	}
+	return sy / n, (sxy*n - sx*sy) / spread, spread / (n * n)
+}
+
+func (d *Desk) keyMemory() float64 {
+	now := d.port.Now()
+	d.kept = slices.DeleteFunc(d.kept, func(e entry) bool { return e.until+d.facts.span("tick") < now })
+	return float64(len(d.kept)) * d.facts.num("key KB")
+}
+
+// memory is what held and running ops and keys use now.
+func (d *Desk) memory() float64 {
+	kb := d.keyMemory()
+	factor := max(1, d.facts.num("run memory factor"))
+	for _, o := range d.hold {
+		kb += o.KB
+	}
+	for _, o := range d.sharing {
+		kb += o.KB
+	}
+	for _, o := range d.running {
+		kb += o.KB * factor
+	}
+	for _, o := range d.calling {
+		kb += o.KB * factor
+	}
+	return kb
+}
+
+func (d *Desk) forget(o *op) {
+	d.hold, d.sharing = without(d.hold, o), without(d.sharing, o)
+	d.running, d.calling = without(d.running, o), without(d.calling, o)
+	delete(d.ops, o.ID)
+}
+
+func (d *Desk) callsInHand(now time.Duration) int {
+	n := 0
+	for _, c := range d.calls {
+		if c.open || c.until > now {
+			n++
+		}
+	}
+	return n
+}
+
+// closeCall notes that one call is no longer open.
+func (d *Desk) closeCall(o *op, until time.Duration) {
+	if !o.inCall {
+		return
+	}
+	o.inCall = false
+	for i := range d.calls {
+		if d.calls[i].open && d.calls[i].id == o.ID {
+			d.calls[i].open, d.calls[i].until = false, until
+			return
+		}
+	}
+}
+
+// owed are the ops that wait for an answer, in a fixed order.
+func (d *Desk) owed() []*op {
+	all := slices.Concat(d.hold, d.sharing, d.running, d.calling)
+	return slices.DeleteFunc(all, func(o *op) bool { return o.answered })
+}
+
+// spread is over how many callers the last arrivals were spread; a caller with most of them counts most.
+func (d *Desk) spread() float64 {
+	counts := map[CallerID]float64{}
+	for _, c := range d.callers {
+		counts[c.caller]++
+	}
+	var squares float64
+	for _, n := range counts { // whole numbers: their sum does not depend on the order
+		squares += n * n
+	}
+	if squares == 0 {
+		return max(1, d.facts.num("callers"))
+	}
+	total := float64(len(d.callers))
+	return total * total / squares
+}
+
+func meanHint(ran []sample) time.Duration {
+	var sum time.Duration
+	for _, s := range ran {
+		sum += s.hint
+	}
+	return sum / time.Duration(max(1, len(ran)))
+}
+
+func (d *Desk) perCore(running float64) float64 { return max(1, running/float64(d.cores)) }
+
+// slack is the paper's s: arrival plus target latency minus now.
+func (d *Desk) slack(o *op, now time.Duration) time.Duration { return o.came + o.target - now }
+
+// target is the least target latency.
+func (d *Desk) target() time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, k := range d.types {
+		least = min(least, k.target)
+	}
+	return least
+}
+
+func (d *Desk) skipShare(k *opType) float64 {
+	shares, _ := d.facts["skip share by type"].([]float64)
+	if k.index < len(shares) {
+		return shares[k.index]
+	}
+	return 0
+}
