--- a/choice/choice.go
+++ b/choice/choice.go
@@ -502,7 +502,7 @@
 func (d *Desk) onCores(now time.Duration) float64 {
 	if len(d.looks) > 0 {
 		l := d.looks[len(d.looks)-1]
-		if l.wanting >= 0 && now-l.at < 300*time.Millisecond { // three looks; older ones tell nothing
+		if l.wanting >= 0 && now-l.at < 3*d.beat() { // three looks; older ones tell nothing
 			return max(0, l.wanting+float64(len(d.running)-l.running))
 		}
 	}
@@ -797,13 +797,13 @@
 	return (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / float64(d.target()/2)
 }
 
-// pressed is the pressure now or in the mean of the last second, whichever is more: callers compare us with
+// pressed is the pressure now or in the mean of the last ten looks, whichever is more: callers compare us with
 // others, and a signal that jumps back at each lull draws them all at once.
 func (d *Desk) pressed(now time.Duration) float64 {
 	var sum float64
 	n := 0
 	for _, l := range d.looks {
-		if l.at > now-time.Second {
+		if l.at > now-10*d.beat() {
 			sum += l.pressure
 			n++
 		}
@@ -811,7 +811,7 @@
 	return max(d.pressure(now), sum/float64(max(1, n)))
 }
 
-// crowdedOut tells that the pressure has lasted for a second in spite of the signal: then the others are no
+// crowdedOut tells that the pressure has lasted for ten looks in spite of the signal: then the others are no
 // better off, and a nacked op that walks on through them only costs each its reading.
 // It can hurt where few callers heed the signal and the others are idle.
 func (d *Desk) crowdedOut() bool {
@@ -927,13 +927,17 @@
 	}
 }
 
-// setWake keeps one timer: for the next answer due, and while work is here a look each 100 ms, which is
-// many looks in a run and a few timers a second.
+// beat is the time between looks: a twentieth of the least target latency, several in a run that is worth
+// its target; not so short that timers cost more than they tell, nor so long that a hang goes unseen.
+func (d *Desk) beat() time.Duration {
+	return min(100*time.Millisecond, max(d.target()/20, 2*d.facts.span("tick"), 5*time.Millisecond))
+}
+
+// setWake keeps one timer: for the next answer due, and while work is here for the next look.
 func (d *Desk) setWake(now time.Duration) {
-	const every = 100 * time.Millisecond
 	next := time.Duration(0)
 	if len(d.ops) > 0 || d.state != "well" || d.level >= 0 && d.welcome() < 1 {
-		next = now + every
+		next = now + d.beat()
 	}
 	for _, o := range d.owed() {
 		next = min(next, max(d.dueAt(o), now+d.facts.span("tick")))
