--- a/choice/choice.go
+++ b/choice/choice.go
@@ -511,7 +511,21 @@
 
 func (d *Desk) coreFree(now time.Duration) bool { return d.onCores(now) < float64(d.cores) }
 
-// look takes the gauges of a moment, and lets the limit grow by one while cores idle and work waits.
+// grow lets one more run than the limit while cores idle and work waits.
+// Danger: a hang looks like idle cores and would swallow all that waits. No growth without an ending.
+func (d *Desk) grow(now time.Duration) bool {
+	if len(d.looks) == 0 || d.endings <= d.grownAt || len(d.running) >= d.crowdCeiling() {
+		return false
+	}
+	l := d.looks[len(d.looks)-1]
+	if l.wanting >= 0 && !d.coreFree(now) || l.wanting < 0 && l.busy > 0.95 {
+		return false
+	}
+	d.grown, d.grownAt = len(d.running)+1, d.endings
+	return true
+}
+
+// look takes the gauges of a moment.
 func (d *Desk) look(gauges map[string]float64) {
 	now := d.port.Now()
 	l := look{at: now, wanting: -1, busy: 1, running: len(d.running), pressure: d.pressure(now)}
@@ -522,18 +536,8 @@
 		l.busy = b
 	}
 	d.looks = lastOf(d.looks, l, 10)
-	idle := l.busy < 0.95
-	crowded := false
-	if l.wanting >= 0 {
-		idle = l.wanting < float64(d.cores)
-		// A sixth over the cores: beyond it runs only slow each other down.
-		crowded = l.wanting > float64(d.cores)*7/6
-	}
-	// Danger: a hang looks like idle cores and would swallow all that waits. No growth without an ending.
-	if idle && len(d.hold) > 0 && d.endings > d.grownAt {
-		d.grown = max(d.grown, d.limit(now)) + 1
-		d.grownAt = d.endings
-	} else if crowded {
+	// A sixth over the cores: beyond it runs only slow each other down.
+	if l.wanting > float64(d.cores)*7/6 {
 		d.grown = max(d.cores, d.grown-1)
 	}
 }
@@ -913,6 +917,9 @@
 	factor := max(1, d.facts.num("run memory factor"))
 	for len(keys) > 0 {
 		room := d.limit(now) - len(d.running)
+		if room < 1 && d.grow(now) {
+			room = 1
+		}
 		if room < 1 {
 			return
 		}
