--- a/choice/choice.go
+++ b/choice/choice.go
@@ -69,9 +69,8 @@
 		return
 	}
 	// Danger: more memory than there is, by held ops and keys.
-	if d.memory()+a.KB > d.memoryRoom() || !d.keep(o, now) {
+	if d.memory() > d.memoryRoom() || !d.keep(o, now) {
 		d.nack(o)
-		return
 	}
 }
 
@@ -165,9 +164,9 @@
 		return
 	}
 	o.answered = true
-	if o.kind.repeats == "keyed" && o.RepeatsOf == "" {
+	if i := slices.IndexFunc(d.kept, func(e entry) bool { return e.id == o.ID }); i >= 0 {
 		d.port.DropKey(o.ID) // it never ran here: a later try is free to
-		d.kept = slices.DeleteFunc(d.kept, func(e entry) bool { return e.id == o.ID })
+		d.kept = slices.Delete(d.kept, i, i+1)
 	}
 	d.port.Nack(o.ID, d.stayAway(), d.crowdedOut())
 	d.forget(o)
@@ -603,15 +602,22 @@
 	return keys
 }
 
-// weed nacks, while no core is free, what cannot be done in the time left: its own T, and the wait for the
-// work before it in the order, which the paper's T leaves out. Late nacks come back with spent slack.
-func (d *Desk) weed(keys []key, now time.Duration) []key {
+// weed nacks, while no core is free, what cannot be done in the time left: by its own T before any start, and
+// after the starts by the wait for the work before it in the order as well, which the paper's T leaves out.
+// Danger: what will clearly not start in time is nacked late, and comes back with its slack spent.
+func (d *Desk) weed(keys []key, now time.Duration, waits bool) []key {
+	if d.coreFree(now) {
+		return keys
+	}
 	var ahead time.Duration
 	for _, o := range d.running {
 		ahead += max(0, d.work(o)-time.Duration(float64(now-o.started)/d.perCore(float64(len(d.running)))))
 	}
 	return slices.DeleteFunc(keys, func(k key) bool {
-		wait := ahead / time.Duration(d.cores)
+		wait := time.Duration(0)
+		if waits {
+			wait = ahead / time.Duration(d.cores)
+		}
 		if wait+k.t > d.left(k.o, now) {
 			d.nack(k.o)
 			return true
@@ -630,12 +636,14 @@
 	if d.coreFree(now) || len(keys) < 2 {
 		return byKey[:min(1, len(byKey))]
 	}
-	// The next start comes when one of the running ends.
-	gap := keys[0].t / time.Duration(max(1, len(d.running)))
+	// With the head started, the next start comes when one of those running ends.
+	after := len(d.running) + 1
+	gap := d.timeFor(keys[0].o, after) / time.Duration(after)
 	var best []key
 	var bestValue float64
 	for _, a := range keys[1:] {
-		if a.level > max(1, keys[0].level) || a.s >= a.t+gap || a.s < a.t {
+		t := d.timeFor(a.o, after)
+		if a.level > max(1, keys[0].level) || a.s >= t+gap || a.s < t {
 			continue // beyond its quota, not at risk, or lost already
 		}
 		count := d.startCount(a, room, now)
@@ -910,10 +918,7 @@
 }
 
 func (d *Desk) startOps(now time.Duration) {
-	keys := d.order(now)
-	if !d.coreFree(now) {
-		keys = d.weed(keys, now)
-	}
+	keys := d.weed(d.order(now), now, false)
 	factor := max(1, d.facts.num("run memory factor"))
 	for len(keys) > 0 {
 		room := d.limit(now) - len(d.running)
@@ -921,6 +926,7 @@
 			room = 1
 		}
 		if room < 1 {
+			d.weed(keys, now, true)
 			return
 		}
 		for _, k := range d.plan(keys, room, now) {
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,340 @@
+package choice
+
+import (
+	"fmt"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// The key: protected first, then urgent, then least remaining work.
+func Example_keyOrder() {
+	s := open(nil)
+	s.warm(200 * ms)
+	s.read(arrival("a1", 200*ms, 0.1), arrival("a2", 200*ms, 0.1)) // fill both cores
+	s.read(arrival("urgent", 200*ms, 0.1))
+	s.now += 620 * ms // its slack runs out
+	s.read(arrival("long", 220*ms, 0.1), arrival("short", 100*ms, 0.1), arrival("protected", 210*ms, 0.9))
+	s.end(Acked, 620*ms, "a1", "a2")
+	s.end(Acked, 200*ms, "protected", "urgent")
+	// Output:
+	// 3200ms run a1
+	// 3200ms run a2
+	// 3820ms run protected
+	// 3820ms run urgent
+	// 3820ms run short
+	// 3820ms run long
+}
+
+// A hopeless op is nacked only while no core is free.
+func Example_hopeless() {
+	s := open(nil)
+	s.warm(200 * ms)
+	late := arrival("late", 200*ms, 0.1)
+	late.Waits, late.ToldWait = true, s.now+100*ms
+	s.read(late) // a core is free: it runs
+	late.ID = "late again"
+	s.read(arrival("b", 100*ms, 0.9))
+	s.read(late)
+	// Output:
+	// 3200ms run late
+	// 3200ms run b
+	// 3200ms nack late again
+}
+
+// The knapsack starts an at-risk anchor against the key, while no core is free; with nobody at risk the
+// key decides.
+func Example_knapsack() {
+	scene := func(age time.Duration) {
+		s := open(nil)
+		s.warm(200 * ms)
+		s.desk.grown = 3
+		s.read(arrival("a1", 200*ms, 0.9), arrival("a2", 200*ms, 0.9), arrival("a3", 200*ms, 0.9))
+		s.read(arrival("waiting", 200*ms, 0.1))
+		s.now += age
+		s.desk.lastLife = s.now
+		s.desk.look(map[string]float64{"want a core": 3})
+		s.desk.grown = 3 // as idle cores let it grow before
+		for _, o := range s.desk.running {
+			o.came = s.now // their slack leaves the limit as it is
+		}
+		s.ended["a1"](Acked, 200*ms)
+		s.read(arrival("head", 150*ms, 0.9))
+	}
+	scene(660 * ms)
+	fmt.Println("nobody at risk")
+	scene(100 * ms)
+	// Output:
+	// 3200ms run a1
+	// 3200ms run a2
+	// 3200ms run a3
+	// 3860ms run waiting
+	// nobody at risk
+	// 3200ms run a1
+	// 3200ms run a2
+	// 3200ms run a3
+	// 3300ms run head
+}
+
+// The limit floors at the cores, grows by one while cores idle and work waits, once for each ending, falls
+// back when more than the cores is wanted, and stays under the survivable crowd.
+func Example_limit() {
+	s := open(nil)
+	s.warm(100 * ms)
+	fmt.Println("limit", s.desk.limit(s.now))
+	s.read(arrival("a", 100*ms, 0.1), arrival("b", 100*ms, 0.1), arrival("c", 100*ms, 0.1),
+		arrival("d", 100*ms, 0.1))
+	s.pass(50*ms, map[string]float64{"want a core": 1}) // one of the two waits on disk
+	fmt.Println("limit", s.desk.limit(s.now))
+	s.pass(50*ms, map[string]float64{"want a core": 1})
+	s.end(Acked, 100*ms, "a")
+	s.pass(300*ms, map[string]float64{"want a core": 4})
+	fmt.Println("limit", s.desk.limit(s.now))
+	cold := open(Facts{"just started": true, "warm within": 10 * time.Second, "cold speed share": 0.25})
+	fmt.Println("crowd survived warm", s.desk.crowdCeiling(), "cold", cold.desk.crowdCeiling())
+	// Output:
+	// limit 2
+	// 1600ms run a
+	// 1600ms run b
+	// 1602ms run c
+	// 1650ms run d
+	// limit 4
+	// limit 2
+	// crowd survived warm 12 cold 4
+}
+
+// The fit: run time against the running count, in proportion while there are too few runs for a line.
+func Example_fit() {
+	s := open(nil)
+	low := s.desk.types["low"]
+	for i := range 12 {
+		crowd := float64(2 + i%4)
+		low.ran = append(low.ran, sample{took: time.Duration(100+50*crowd) * ms, hint: 100 * ms, crowd: crowd})
+	}
+	fmt.Println("line", s.desk.fitted(low, 2).Round(ms), s.desk.fitted(low, 6).Round(ms))
+	low.ran = low.ran[:1]
+	fmt.Println("proportion", s.desk.fitted(low, 2).Round(ms), s.desk.fitted(low, 4).Round(ms))
+	// Output:
+	// line 200ms 400ms
+	// proportion 200ms 400ms
+}
+
+// No op is lost: a held one, a running one and one at a call are answered before they are due.
+func Example_lost() {
+	s := open(Facts{"below": "shared", "call share": 1.0, "calls over": time.Second, "halt": "drop"})
+	s.warm(200 * ms)
+	s.read(arrival("calls", 200*ms, 0.1), arrival("runs", 200*ms, 0.1))
+	s.atCall["calls"]()
+	s.desk.Settle()
+	s.desk.endings = s.desk.grownAt // no growth: the third is held
+	s.desk.lastLife += time.Hour    // and no stuck state
+	third := arrival("held", 200*ms, 0.1)
+	third.Waits, third.ToldWait = true, s.now+650*ms
+	s.read(arrival("runs too", 200*ms, 0.1), third)
+	s.pass(3100*ms, map[string]float64{"want a core": 2})
+	// Output:
+	// 3200ms run calls
+	// 3200ms run runs
+	// 3200ms call calls
+	// 3200ms run runs too
+	// 3700ms nack held
+	// 6196ms nack runs
+	// 6196ms stop runs
+	// 6196ms nack runs too
+	// 6196ms stop runs too
+	// 6196ms nack calls
+}
+
+// No effect happens twice: a repeat gets the first one's result, a nacked op gives its key back, and a run
+// that is given up fails instead of being nacked.
+func Example_twice() {
+	keyed := Facts{"name": "low", "importance": 1.0, "target latency": time.Second, "op timeout": 2 * time.Second,
+		"repeats": "keyed", "repeat window": 5 * time.Second}
+	s := open(Facts{"op types": []Facts{keyed}, "key KB": 5.0})
+	first := arrival("first", 200*ms, 0.1)
+	first.Lay = 10 * ms
+	s.read(first)
+	again := arrival("again", 200*ms, 0.1)
+	again.RepeatsOf = "first"
+	s.read(again)
+	s.read(Arrival{ID: "too big", Type: "low", KB: 2000})
+	s.pass(2*time.Second, map[string]float64{"want a core": 2})
+	// Output:
+	// 0ms keep first 4.994s
+	// 0ms run first
+	// 0ms share again
+	// 0ms nack too big
+	// 1650ms note well -> stuck: held 0, running 1
+	// 1650ms health false
+	// 1986ms fail first
+	// 1996ms fail again
+}
+
+// A call is repeated only where that is harmless or the outcome proves that it never ran.
+func Example_calls() {
+	once := Facts{"name": "low", "importance": 1.0, "target latency": time.Second, "op timeout": 2 * time.Second,
+		"repeats": "non-retryable"}
+	s := open(Facts{"op types": []Facts{once}, "below": "next tier"})
+	s.read(arrival("a", 200*ms, 0.1), arrival("b", 200*ms, 0.1))
+	s.atCall["a"]()
+	s.atCall["b"]()
+	s.desk.Settle()
+	s.called["a"](Full, ms)
+	s.called["b"](GivenUp, ms)
+	s.desk.Settle()
+	fmt.Println("where a poorer answer is worth something")
+	s = open(Facts{"below": "shared", "call share": 1.0, "calls over": time.Second,
+		"skip share by type": []float64{0.5, 0}})
+	s.read(arrival("c", 200*ms, 0.1))
+	s.atCall["c"]()
+	s.desk.Settle()
+	s.called["c"](GivenUp, ms)
+	s.desk.Settle()
+	// Output:
+	// 0ms run a
+	// 0ms run b
+	// 0ms call a
+	// 0ms call b
+	// 0ms fail b
+	// 0ms call a
+	// 0ms fail b
+	// where a poorer answer is worth something
+	// 0ms run c
+	// 0ms call c
+	// 0ms skip call c
+}
+
+// Drain: nothing that came after the grace runs, and all is answered before the kill.
+func Example_drain() {
+	s := open(nil)
+	s.warm(200 * ms)
+	s.desk.Leave(s.now + 1500*ms)
+	s.read(arrival("in time", 200*ms, 0.1))
+	s.pass(1100*ms, map[string]float64{"want a core": 1})
+	s.read(arrival("after the grace", 200*ms, 0.1))
+	s.pass(300*ms, map[string]float64{"want a core": 1})
+	// Output:
+	// 3200ms note well -> leaving: held 1, running 0
+	// 3200ms health false
+	// 3200ms run in time
+	// 4300ms nack after the grace
+	// 4550ms nack in time
+}
+
+// Nothing falls over: what memory cannot hold is nacked, and a run waits for its memory.
+func Example_memory() {
+	s := open(nil)
+	big := arrival("big", 200*ms, 0.1)
+	big.KB = 200
+	s.read(big)
+	big.ID = "second"
+	s.read(big) // would need 4 x 200 more
+	big.ID, big.KB = "third", 900
+	s.read(big)
+	s.end(Acked, 200*ms, "big")
+	// Output:
+	// 0ms run big
+	// 0ms nack third
+	// 0ms run second
+}
+
+// Stuck: work goes in and none comes out. All are told at once; the first ending is the way back.
+func Example_stuck() {
+	s := open(Facts{"signal": "chance"})
+	s.warm(100 * ms)
+	s.read(arrival("a", 100*ms, 0.1), arrival("b", 100*ms, 0.1), arrival("c", 100*ms, 0.9))
+	s.pass(800*ms, map[string]float64{"want a core": 2})
+	s.read(arrival("d", 100*ms, 0.1))
+	s.end(Acked, 900*ms, "a", "b")
+	s.read(arrival("e", 100*ms, 0.1))
+	// Output:
+	// 1600ms run c
+	// 1600ms run a
+	// 1600ms signal 0.70
+	// 2150ms note well -> stuck: held 1, running 2
+	// 2150ms health false
+	// 2150ms nack b
+	// 2150ms nack c
+	// 2150ms nack a
+	// 2150ms signal 0.00
+	// 2400ms nack d
+	// 2400ms b does not run
+	// 2400ms note stuck -> well: held 0, running 1
+	// 2400ms health true
+	// 2400ms signal 0.85
+	// 2400ms run e
+}
+
+// Failing: most runs end at once and badly. A few go through, to see; old failures are forgotten.
+func Example_failing() {
+	s := open(nil)
+	s.warm(100 * ms)
+	for i := range 16 {
+		id := fmt.Sprint("f", i)
+		s.quiet = i > 0 && i < 14
+		s.read(arrival(id, 100*ms, 0.1))
+		if end := s.ended[OpID(id)]; end != nil {
+			s.end(Failed, ms, OpID(id))
+		}
+	}
+	s.pass(6*time.Second, nil)
+	s.read(arrival("well again", 100*ms, 0.1))
+	// Output:
+	// 1600ms run f0
+	// 1600ms nack f14
+	// 1600ms nack f15
+	// 6600ms note failing -> well: held 0, running 0
+	// 6600ms health true
+	// 7600ms run well again
+}
+
+// A tenant beyond its quota waits for the others.
+func Example_quota() {
+	s := open(Facts{"fleet size": 1.0, "tenants": []Facts{{"name": "x", "quota a second": 0.1},
+		{"name": "y", "quota a second": 100.0}}})
+	s.warm(200 * ms)
+	s.read(arrival("a", 200*ms, 0.1), arrival("b", 200*ms, 0.1))
+	for i := range 6 {
+		x := arrival(fmt.Sprint("x", i), 100*ms, 0.1)
+		x.Tenant = "x"
+		s.desk.Read(x)
+	}
+	y := arrival("y", 150*ms, 0.1)
+	y.Tenant = "y"
+	s.read(y)
+	s.end(Acked, 200*ms, "a", "b")
+	// Output:
+	// 3200ms run a
+	// 3200ms run b
+	// 3200ms run y
+	// 3200ms run x0
+}
+
+// Reading is swamped: ops come in that lay unread for long. Fewer run, so that reading catches up, and once
+// it lasts, nacked ops are asked not to walk on.
+func Example_swamped() {
+	s := open(Facts{"signal": "chance"})
+	s.warm(200 * ms)
+	for i := range 12 {
+		late := arrival(fmt.Sprint("s", i), 400*ms, 0.1)
+		late.Lay = 450 * ms
+		s.quiet = i > 0 && i < 11
+		s.read(late)
+		s.pass(50*ms, map[string]float64{"want a core": 4})
+	}
+	// Output:
+	// 3200ms run s0
+	// 3200ms signal 0.20
+	// 3750ms nack s11, nowhere else
+}
+
+// The same seed and events give the same trace.
+func Example_sameSeed() {
+	draws := func() string {
+		d := open(nil).desk
+		return fmt.Sprintf("%.4f %.4f", d.chance(), d.chance())
+	}
+	fmt.Println(draws() == draws(), draws())
+	// Output:
+	// true 0.7271 0.3640
+}
--- /dev/null
+++ b/choice/helper_test.go
@@ -0,0 +1,141 @@
+package choice
+
+import (
+	"fmt"
+	"time"
+)
+
+// bench-free stand-in for the port: it prints what the module does and keeps the closures it leaves.
+type scene struct {
+	now    time.Duration
+	desk   *Desk
+	quiet  bool
+	atCall map[OpID]func()
+	ended  map[OpID]func(Ending, time.Duration)
+	called map[OpID]func(Ending, time.Duration)
+	wakes  []wake
+	stopOK bool
+}
+
+type wake struct {
+	at   time.Duration
+	then func(map[string]float64)
+}
+
+func (s *scene) say(format string, a ...any) {
+	if !s.quiet {
+		fmt.Printf("%dms ", s.now.Milliseconds())
+		fmt.Printf(format+"\n", a...)
+	}
+}
+
+func (s *scene) Now() time.Duration { return s.now }
+func (s *scene) Run(id OpID, atCall func(), ended func(Ending, time.Duration)) {
+	s.say("run %s", id)
+	s.atCall[id], s.ended[id] = atCall, ended
+}
+func (s *scene) Stop(id OpID) { s.say("stop %s", id) }
+func (s *scene) Fail(id OpID) { s.say("fail %s", id) }
+func (s *scene) Nack(id OpID, _ time.Duration, nowhereElse bool) {
+	s.say("nack %s%s", id, map[bool]string{true: ", nowhere else"}[nowhereElse])
+}
+func (s *scene) Share(id OpID, ended func(Ending, time.Duration)) {
+	s.say("share %s", id)
+	s.ended[id] = ended
+}
+func (s *scene) Call(id OpID, _ time.Duration, done func(Ending, time.Duration)) {
+	s.say("call %s", id)
+	s.called[id] = done
+}
+func (s *scene) SkipCall(id OpID)                    { s.say("skip call %s", id) }
+func (s *scene) KeepKey(id OpID, span time.Duration) { s.say("keep %s %v", id, span) }
+func (s *scene) DropKey(id OpID)                     { s.say("drop key %s", id) }
+func (s *scene) Health(good, _ bool)                 { s.say("health %v", good) }
+func (s *scene) Signal(level float64)                { s.say("signal %.2f", level) }
+func (s *scene) Note(line string)                    { s.say("note %s", line) }
+func (s *scene) Wake(at time.Duration, f func(map[string]float64)) {
+	s.wakes = append(s.wakes, wake{at, f})
+}
+
+// open starts an instance of two cores; extra facts replace the usual ones.
+func open(extra Facts) *scene {
+	s := &scene{atCall: map[OpID]func(){}, ended: map[OpID]func(Ending, time.Duration){},
+		called: map[OpID]func(Ending, time.Duration){}, quiet: true}
+	low := Facts{"name": "low", "importance": 1.0, "target latency": time.Second, "op timeout": 3 * time.Second,
+		"repeats": "retryable"}
+	high := Facts{"name": "high", "importance": 3.0, "target latency": time.Second, "op timeout": 3 * time.Second,
+		"repeats": "retryable"}
+	facts := Facts{"op types": []Facts{low, high}, "cores": 2.0, "run memory factor": 4.0, "memory KB": 1200.0,
+		"tick": 2 * time.Millisecond, "crowd a core": 8.0, "drain grace": time.Second}
+	for name, value := range extra {
+		facts[name] = value
+	}
+	s.desk = Open(7, facts, s)
+	s.quiet = false
+	return s
+}
+
+// read takes ops of 10 kB with a hint, and settles the batch.
+func (s *scene) read(arrivals ...Arrival) {
+	for _, a := range arrivals {
+		if a.KB == 0 {
+			a.KB = 10
+		}
+		s.desk.Read(a)
+	}
+	s.desk.Settle()
+}
+
+// op is an arrival of the low type, or of the high one by its rank.
+func arrival(id string, hint time.Duration, rank float64) Arrival {
+	a := Arrival{ID: OpID(id), Type: "low", Hint: hint, Rank: rank}
+	if rank >= 0.5 {
+		a.Type = "high"
+	}
+	return a
+}
+
+// end ends runs after the time they took, in one batch.
+func (s *scene) end(how Ending, took time.Duration, ids ...OpID) {
+	for _, id := range ids {
+		if s.ended[id] == nil {
+			s.say("%s does not run", id)
+			continue
+		}
+		s.ended[id](how, took)
+	}
+	s.desk.Settle()
+}
+
+// pass moves the clock on, firing the timers with these gauges.
+func (s *scene) pass(span time.Duration, gauges map[string]float64) {
+	for until := s.now + span; s.now < until; {
+		s.now += 2 * time.Millisecond
+		due := s.wakes
+		s.wakes = nil
+		fired := false
+		for _, w := range due {
+			if w.at <= s.now {
+				w.then(gauges)
+				fired = true
+			} else {
+				s.wakes = append(s.wakes, w)
+			}
+		}
+		if fired {
+			s.desk.Settle()
+		}
+	}
+}
+
+// warm gives each type the runs it needs for a fit, all of one length, unprinted.
+func (s *scene) warm(took time.Duration) {
+	s.quiet = true
+	for i := range 16 {
+		id := fmt.Sprint("warm", i)
+		s.read(arrival(id, took, float64(i%2)*0.6))
+		s.now += took
+		s.end(Acked, took, OpID(id))
+	}
+	s.quiet = false
+}
