--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,7 +60,9 @@
 	d.ops[a.ID] = o
 	d.hold = append(d.hold, o)
 	o.giveUp = func() { d.nack(o) }
-	d.callers = lastOf(d.callers, from{now, a.Lay, a.Caller, a.Rank}, 64)
+	waits := float64(o.due-o.came) / float64(max(kind.timeout, 1))
+	o.target -= d.spent(o, waits)
+	d.callers = lastOf(d.callers, from{now, a.Lay, a.Caller, a.Rank, waits}, 64)
 	o.overShare = d.beyondQuota(o, now)
 
 	// Danger: an effect that happens twice. A repeat never gets a run; it gets the first one's result.
@@ -74,6 +76,27 @@
 	}
 }
 
+// spent is the time that an op's earlier tries took, as far as it shows. Callers tell the same share of the op
+// timeout for each first try, but what is left of it for a last one; so a told wait that none of the last
+// arrivals had is the rest of the op timeout. A try with its own full wait shows nothing.
+// Danger: further tries whose target latency is past take the cores from those that can still earn.
+func (d *Desk) spent(o *op, waits float64) time.Duration {
+	const alike = 0.005 // clocks are in microseconds; two ages this near are rare among 64
+	if !o.Waits || len(d.callers) < 16 {
+		return 0
+	}
+	same := 0
+	for _, c := range d.callers {
+		if math.Abs(c.waits-waits) < alike {
+			same++
+		}
+	}
+	if same >= 2 {
+		return 0
+	}
+	return max(0, o.kind.timeout-(o.due-o.came))
+}
+
 // beyondQuota tells whether the op's tenant now sends this instance more than its part of the quota.
 // Further tries are left out where they are marked, or a nack would count against the tenant.
 func (d *Desk) beyondQuota(o *op, now time.Duration) bool {
--- a/choice/state.go
+++ b/choice/state.go
@@ -114,6 +114,7 @@
 	lay    time.Duration
 	caller CallerID
 	rank   float64
+	waits  float64 // the told wait as a share of the op timeout
 }
 
 // lastOf appends and keeps the last n.
