--- a/choice/choice.go
+++ b/choice/choice.go
@@ -195,10 +195,12 @@
 	d.forget(o)
 }
 
-// stayAway grows as the instance is less welcoming; the half that is drawn keeps callers from coming back
-// all at once.
+// stayAway is how long a nacked op's caller should send nothing here: long while ops are not done here at all,
+// else none, as the signal says how much is welcome. With no signal it grows as the welcome falls.
+// Danger: a few callers that all keep away and come back together leave the cores idle in between; what is
+// given is drawn, in half its length.
 func (d *Desk) stayAway() time.Duration {
-	if !d.facts.flag("stay away is passed on") {
+	if !d.facts.flag("stay away is passed on") || d.state == "well" && d.facts.text("signal") != "none" {
 		return 0
 	}
 	span := float64(d.facts.span("longest stay away")) * (1 - d.welcome())
