--- a/choice/choice.go
+++ b/choice/choice.go
@@ -195,15 +195,18 @@
 	d.forget(o)
 }
 
-// stayAway is how long a nacked op's caller should send nothing here: long while ops are not done here at all,
-// else none, as the signal says how much is welcome. With no signal it grows as the welcome falls.
-// Danger: a few callers that all keep away and come back together leave the cores idle in between; what is
-// given is drawn, in half its length.
+// stayAway is how long a nacked op's caller should send nothing here: long while ops are not done here at all.
+// From a well instance it is an eighth of that, as the signal says how much is welcome, and clients that try
+// again need a pause. Danger: a few callers that all keep away for long and come back together leave the cores
+// idle in between; so the advice is drawn, in half its length.
 func (d *Desk) stayAway() time.Duration {
-	if !d.facts.flag("stay away is passed on") || d.state == "well" && d.facts.text("signal") != "none" {
+	if !d.facts.flag("stay away is passed on") {
 		return 0
 	}
 	span := float64(d.facts.span("longest stay away")) * (1 - d.welcome())
+	if d.state == "well" && d.facts.text("signal") != "none" {
+		span /= 8
+	}
 	return time.Duration(span * (0.5 + 0.5*d.chance()))
 }
 
