--- a/choice/choice.go
+++ b/choice/choice.go
@@ -191,7 +191,7 @@
 		d.port.DropKey(o.ID) // it never ran here: a later try is free to
 		d.kept = slices.Delete(d.kept, i, i+1)
 	}
-	d.port.Nack(o.ID, d.stayAway(), d.crowdedOut())
+	d.port.Nack(o.ID, d.stayAway(o), d.crowdedOut())
 	d.forget(o)
 }
 
@@ -199,12 +199,12 @@
 // From a well instance it is an eighth of that, as the signal says how much is welcome, and clients that try
 // again need a pause. Danger: a few callers that all keep away for long and come back together leave the cores
 // idle in between; so the advice is drawn, in half its length.
-func (d *Desk) stayAway() time.Duration {
+func (d *Desk) stayAway(o *op) time.Duration {
 	if !d.facts.flag("stay away is passed on") {
 		return 0
 	}
 	span := float64(d.facts.span("longest stay away")) * (1 - d.welcome())
-	if d.state == "well" && d.facts.text("signal") != "none" {
+	if d.state == "well" && d.facts.text("signal") != "none" && !o.Retry {
 		span /= 8
 	}
 	return time.Duration(span * (0.5 + 0.5*d.chance()))
@@ -218,7 +218,7 @@
 	}
 	o.answered = true
 	if o.kind.repeats == "retryable" {
-		d.port.Nack(o.ID, d.stayAway(), false)
+		d.port.Nack(o.ID, d.stayAway(o), false)
 	} else {
 		d.port.Fail(o.ID)
 	}
@@ -825,7 +825,7 @@
 		for _, o := range slices.Clone(d.running) {
 			if o.kind.repeats == "retryable" && !o.answered {
 				o.answered = true
-				d.port.Nack(o.ID, d.stayAway(), false)
+				d.port.Nack(o.ID, d.stayAway(o), false)
 			}
 		}
 	}
