--- a/choice/choice.go
+++ b/choice/choice.go
@@ -191,20 +191,20 @@
 		d.port.DropKey(o.ID) // it never ran here: a later try is free to
 		d.kept = slices.Delete(d.kept, i, i+1)
 	}
-	d.port.Nack(o.ID, d.stayAway(o), d.crowdedOut())
+	d.port.Nack(o.ID, d.stayAway(), d.crowdedOut())
 	d.forget(o)
 }
 
-// stayAway is how long a nacked op's caller should send nothing here: long while ops are not done here at all.
-// From a well instance it is an eighth of that, as the signal says how much is welcome, and clients that try
-// again need a pause. Danger: a few callers that all keep away for long and come back together leave the cores
-// idle in between; so the advice is drawn, in half its length.
-func (d *Desk) stayAway(o *op) time.Duration {
+// stayAway is how long a nacked op's caller should send nothing here: the longer the less is welcome, and drawn
+// in half its length, so that callers do not come back all at once.
+// Danger: where ops lie unread, advice is heard late and all callers keep away and come back together, with the
+// cores idle in between. From a well instance it is then cut to an eighth, and the signal does the rest.
+func (d *Desk) stayAway() time.Duration {
 	if !d.facts.flag("stay away is passed on") {
 		return 0
 	}
 	span := float64(d.facts.span("longest stay away")) * (1 - d.welcome())
-	if d.state == "well" && d.facts.text("signal") != "none" && !o.Retry {
+	if d.state == "well" && d.unread(d.port.Now()) > d.target()/16 {
 		span /= 8
 	}
 	return time.Duration(span * (0.5 + 0.5*d.chance()))
@@ -218,7 +218,7 @@
 	}
 	o.answered = true
 	if o.kind.repeats == "retryable" {
-		d.port.Nack(o.ID, d.stayAway(o), false)
+		d.port.Nack(o.ID, d.stayAway(), false)
 	} else {
 		d.port.Fail(o.ID)
 	}
@@ -825,7 +825,7 @@
 		for _, o := range slices.Clone(d.running) {
 			if o.kind.repeats == "retryable" && !o.answered {
 				o.answered = true
-				d.port.Nack(o.ID, d.stayAway(o), false)
+				d.port.Nack(o.ID, d.stayAway(), false)
 			}
 		}
 	}
