--- a/choice/choice.go
+++ b/choice/choice.go
@@ -204,7 +204,7 @@
 		return 0
 	}
 	span := float64(d.facts.span("longest stay away")) * (1 - d.welcome())
-	if d.state == "well" && d.unread(d.port.Now()) > d.target()/16 {
+	if d.state == "well" && d.unread(d.port.Now()) > d.target()/32 {
 		span /= 8
 	}
 	return time.Duration(span * (0.5 + 0.5*d.chance()))
