--- a/choice/choice.go
+++ b/choice/choice.go
@@ -507,13 +507,6 @@
 		}
 	}
 	n = min(max(n, d.cores+d.offCores()), d.crowdCeiling())
-	// Danger: runs keep the cores from reading, so that all is read too late, refusals reach nobody, and what
-	// timed out comes again. From a quarter of a target latency unread on, fewer run the longer ops lie.
-	// Cores that idle all the same are used.
-	if over := d.unread(now) - d.target()/4; over > 0 {
-		fewer := max(1, int(float64(n)*(1-float64(over)/float64(d.target()/4))))
-		n = min(n, max(fewer, len(d.running)+d.cores-int(d.onCores(now))))
-	}
 	return n
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -310,8 +310,8 @@
 	// 3200ms run x0
 }
 
-// Reading is swamped: ops come in that lay unread for long. Fewer run, so that reading catches up, and once
-// it lasts, nacked ops are asked not to walk on.
+// Reading is swamped: ops come in that lay unread for long. The signal falls, and once it lasts, nacked ops are
+// asked not to walk on.
 func Example_swamped() {
 	s := open(Facts{"signal": "chance"})
 	s.warm(200 * ms)
