--- a/choice/choice.go
+++ b/choice/choice.go
@@ -872,7 +872,7 @@
 			return false
 		}
 	}
-	return len(d.looks) == 10
+	return len(d.looks) == 10 && d.state == "well"
 }
 
 // unread is how long ops have lately lain unread, the worst of the last half second.
