--- a/choice/choice.go
+++ b/choice/choice.go
@@ -234,6 +234,18 @@
 	}
 }
 
+// stopWorthless stops retryable runs that can earn nothing any more, while others wait and no core is free.
+func (d *Desk) stopWorthless(now time.Duration) {
+	if h := d.facts.text("halt"); h != "drop" && h != "pause" || d.coreFree(now) {
+		return
+	}
+	for _, o := range slices.Clone(d.running) {
+		if o.kind.repeats == "retryable" && o.kind.lateShare == 0 && d.slack(o, now) < 0 {
+			d.abandon(o)
+		}
+	}
+}
+
 // share answers a repeat by the first one's result.
 func (d *Desk) share(o *op) {
 	d.hold = without(d.hold, o)
@@ -966,7 +978,9 @@
 			room = 1
 		}
 		if room < 1 {
-			d.weed(keys, now, true)
+			if keys = d.weed(keys, now, true); len(keys) > 0 {
+				d.stopWorthless(now)
+			}
 			return
 		}
 		for _, k := range d.plan(keys, room, now) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -137,9 +137,9 @@
 	// 3200ms run runs
 	// 3200ms call calls
 	// 3200ms run held
-	// 3846ms nack held
-	// 3846ms stop held
-	// 4046ms nack runs too
+	// 3200ms nack held
+	// 3200ms stop held
+	// 4050ms nack runs too
 	// 6196ms nack runs
 	// 6196ms stop runs
 	// 6196ms nack calls
@@ -389,3 +389,22 @@
 	// 0ms call a
 	// 100ms call b
 }
+
+// A run past its target latency is stopped while another waits and no core is free.
+func Example_worthless() {
+	s := open(Facts{"halt": "drop"})
+	s.warm(400 * ms)
+	s.read(arrival("a", 400*ms, 0.1), arrival("b", 400*ms, 0.1))
+	s.now += 1010 * ms
+	s.desk.lastLife = s.now
+	s.read(arrival("c", 100*ms, 0.1))
+	s.end(Cancelled, 1010*ms, "a", "b")
+	// Output:
+	// 6400ms run a
+	// 6400ms run b
+	// 7410ms nack a
+	// 7410ms stop a
+	// 7410ms nack b
+	// 7410ms stop b
+	// 7410ms run c
+}
