--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -143,25 +143,21 @@
 	}
 }
 
-func number(v *fastjson.Value) any {
-	if x, err := v.Float64(); err == nil {
-		return x
-	}
-	return nil
-}
+func number(v *fastjson.Value) any { return orNil(v.Float64()) }
+func flag(v *fastjson.Value) any   { return orNil(v.Bool()) }
 
 func span(v *fastjson.Value) any {
-	if x, err := v.Float64(); err == nil {
+	if x, isNumber := number(v).(float64); isNumber {
 		return seconds(x)
 	}
 	return nil
 }
 
-func flag(v *fastjson.Value) any {
-	if x, err := v.Bool(); err == nil {
-		return x
+func orNil[T any](x T, err error) any {
+	if err != nil {
+		return nil
 	}
-	return nil
+	return x
 }
 
 func text(v *fastjson.Value) any {
@@ -185,22 +181,18 @@
 	}
 }
 
-func flags(v *fastjson.Value) any {
-	out := []bool{}
-	for _, item := range v.GetArray() {
-		x, err := item.Bool()
-		if err != nil {
-			return nil
-		}
-		out = append(out, x)
-	}
-	return out
-}
+func flags(v *fastjson.Value) any   { return each(v, (*fastjson.Value).Bool) }
+func numbers(v *fastjson.Value) any { return each(v, (*fastjson.Value).Float64) }
 
-func numbers(v *fastjson.Value) any {
-	out := []float64{}
-	for _, item := range v.GetArray() {
-		x, err := item.Float64()
+// each reads a list of one type of value.
+func each[T any](v *fastjson.Value, read func(*fastjson.Value) (T, error)) any {
+	items, err := v.Array()
+	if err != nil {
+		return nil
+	}
+	out := make([]T, 0, len(items))
+	for _, item := range items {
+		x, err := read(item)
 		if err != nil {
 			return nil
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -302,7 +302,7 @@
 	return id, took, how, f.err
 }
 
-// CallDone reads the end of a call.
+// CallDone reads the end of a call, whose outcome comes before its time.
 func (l Line) CallDone() (choice.OpID, time.Duration, choice.Ending, error) {
 	f := take(l, 4, 4)
 	f.integer("who")
