--- a/choice/choice.go
+++ b/choice/choice.go
@@ -101,10 +101,12 @@
 // Further tries are left out where they are marked, or a nack would count against the tenant.
 func (d *Desk) beyondQuota(o *op, now time.Duration) bool {
 	t := d.tenant[o.Tenant]
-	if t == nil || t.quota <= 0 || o.Retry {
-		return t != nil && t.rate(now) > d.quotaHere(t)
+	if t == nil || t.quota <= 0 {
+		return false
+	}
+	if !o.Retry {
+		t.came = lastOf(t.came, now, 256)
 	}
-	t.came = lastOf(t.came, now, 256)
 	return t.rate(now) > d.quotaHere(t)
 }
 
@@ -518,8 +520,7 @@
 			break
 		}
 	}
-	n = min(max(n, d.cores+d.offCores()), d.crowdCeiling())
-	return n
+	return min(max(n, d.cores+d.offCores()), d.crowdCeiling())
 }
 
 // offCores is how many runs wait for something else than a core, by the last gauges. Without them the
--- a/choice/state.go
+++ b/choice/state.go
@@ -99,12 +99,11 @@
 	open        bool
 }
 type look struct {
-	at             time.Duration
-	wanting        float64 // things that want a core, by gauge; -1 where there is none
-	busy           float64
-	pressure       float64
-	running        int
-	waitingForCore bool
+	at       time.Duration
+	wanting  float64 // things that want a core, by gauge; -1 where there is none
+	busy     float64
+	pressure float64
+	running  int
 }
 type ended struct {
 	at     time.Duration
