--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -42,7 +43,7 @@
 	// 3200ms nack late again
 }
 
-// The knapsack starts an at-risk anchor against the key, while no core is free; with nobody at risk the
+// The knapsack starts an at-risk anchor against the key, while no core is free; without a feasible one the
 // key decides.
 func Example_knapsack() {
 	scene := func(age time.Duration) {
@@ -62,6 +63,8 @@
 		s.read(arrival("head", 150*ms, 0.9))
 	}
 	scene(660 * ms)
+	fmt.Println("no feasible anchor")
+	scene(740 * ms)
 	fmt.Println("nobody at risk")
 	scene(100 * ms)
 	// Output:
@@ -69,6 +72,12 @@
 	// 3200ms run a2
 	// 3200ms run a3
 	// 3860ms run waiting
+	// no feasible anchor
+	// 3200ms run a1
+	// 3200ms run a2
+	// 3200ms run a3
+	// 3940ms run head
+	// 3940ms nack waiting
 	// nobody at risk
 	// 3200ms run a1
 	// 3200ms run a2
@@ -328,15 +337,27 @@
 	// 3750ms nack s11, nowhere else
 }
 
-// The same seed and events give the same trace.
+// The same seed and events give the same trace; another seed draws otherwise.
 func Example_sameSeed() {
-	draws := func() string {
-		d := open(nil).desk
-		return fmt.Sprintf("%.4f %.4f", d.chance(), d.chance())
+	trace := func() string {
+		var out strings.Builder
+		s := open(Facts{"signal": "chance", "stay away is passed on": true, "longest stay away": time.Second})
+		s.out = &out
+		for i := range 20 {
+			s.read(arrival(fmt.Sprint("op", i), time.Duration(100+i)*ms, float64(i%5)/5))
+			s.now += 40 * ms
+			if i%4 == 3 {
+				s.end(Acked, 150*ms, "op0", "op1")
+			}
+		}
+		return out.String()
 	}
-	fmt.Println(draws() == draws(), draws())
+	first := trace()
+	fmt.Println(strings.Count(first, "\n"), "lines, the same:", first == trace())
+	fmt.Println(open(nil).desk.chance() == (&Desk{seed: 8}).chance())
 	// Output:
-	// true 0.7271 0.3640
+	// 44 lines, the same: true
+	// false
 }
 
 // A told wait that no other arrival has is what is left of the op timeout: its slack is spent.
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"time"
 )
 
@@ -10,11 +12,11 @@
 	now    time.Duration
 	desk   *Desk
 	quiet  bool
+	out    io.Writer
 	atCall map[OpID]func()
 	ended  map[OpID]func(Ending, time.Duration)
 	called map[OpID]func(Ending, time.Duration)
 	wakes  []wake
-	stopOK bool
 }
 
 type wake struct {
@@ -24,8 +26,7 @@
 
 func (s *scene) say(format string, a ...any) {
 	if !s.quiet {
-		fmt.Printf("%dms ", s.now.Milliseconds())
-		fmt.Printf(format+"\n", a...)
+		fmt.Fprintf(s.out, "%dms "+format+"\n", append([]any{s.now.Milliseconds()}, a...)...)
 	}
 }
 
@@ -36,8 +37,8 @@
 }
 func (s *scene) Stop(id OpID) { s.say("stop %s", id) }
 func (s *scene) Fail(id OpID) { s.say("fail %s", id) }
-func (s *scene) Nack(id OpID, _ time.Duration, nowhereElse bool) {
-	s.say("nack %s%s", id, map[bool]string{true: ", nowhere else"}[nowhereElse])
+func (s *scene) Nack(id OpID, stayAway time.Duration, nowhereElse bool) {
+	s.say("nack %s%s%s", id, map[bool]string{true: fmt.Sprint(", away ", stayAway)}[stayAway > 0], map[bool]string{true: ", nowhere else"}[nowhereElse])
 }
 func (s *scene) Share(id OpID, ended func(Ending, time.Duration)) {
 	s.say("share %s", id)
@@ -60,7 +61,7 @@
 // open starts an instance of two cores; extra facts replace the usual ones.
 func open(extra Facts) *scene {
 	s := &scene{atCall: map[OpID]func(){}, ended: map[OpID]func(Ending, time.Duration){},
-		called: map[OpID]func(Ending, time.Duration){}, quiet: true}
+		called: map[OpID]func(Ending, time.Duration){}, quiet: true, out: os.Stdout}
 	low := Facts{"name": "low", "importance": 1.0, "target latency": time.Second, "op timeout": 3 * time.Second,
 		"repeats": "retryable"}
 	high := Facts{"name": "high", "importance": 3.0, "target latency": time.Second, "op timeout": 3 * time.Second,
@@ -102,7 +103,9 @@
 			s.say("%s does not run", id)
 			continue
 		}
-		s.ended[id](how, took)
+		done := s.ended[id]
+		delete(s.ended, id)
+		done(how, took)
 	}
 	s.desk.Settle()
 }
