--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,10 +7,10 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -304,7 +304,7 @@
 // grantCalls lets the ops with the least slack call first, within the bound.
 func (d *Desk) grantCalls(now time.Duration) {
 	waiting := slices.DeleteFunc(slices.Clone(d.calling), func(o *op) bool { return o.inCall })
-	sort.SliceStable(waiting, func(i, j int) bool { return d.slack(waiting[i], now) < d.slack(waiting[j], now) })
+	slices.SortStableFunc(waiting, func(a, b *op) int { return cmp.Compare(d.slack(a, now), d.slack(b, now)) })
 	for _, o := range waiting {
 		switch {
 		case o.answered:
@@ -602,11 +602,6 @@
 // epsilon keeps the division whole when no slack is left.
 const epsilon = time.Millisecond
 
-func (d *Desk) urgent(o *op, now time.Duration) bool {
-	t := d.timeFor(o, len(d.running))
-	return float64(t)/float64(max(d.slack(o, now), epsilon)) > alpha
-}
-
 // protected is the paper's g, from the rank: the band of the highest importance, as ranks give each
 // importance an equal band; with one importance only the top fifth.
 func (d *Desk) protected(o *op) bool {
@@ -624,7 +619,7 @@
 type key struct {
 	o       *op
 	level   int // 1-g, and one more for a tenant beyond its quota
-	urgent  bool
+	calm    int // 1-urgent
 	r, s, t time.Duration
 }
 
@@ -632,8 +627,11 @@
 func (d *Desk) order(now time.Duration) []key {
 	keys := make([]key, 0, len(d.hold))
 	for _, o := range d.hold {
-		k := key{o: o, level: 1, urgent: d.urgent(o, now), r: d.work(o), s: d.slack(o, now),
-			t: d.timeFor(o, len(d.running))}
+		k := key{o: o, level: 1, calm: 1, r: d.work(o), s: d.slack(o, now)}
+		k.t = time.Duration(float64(k.r) * d.perCore(float64(len(d.running))))
+		if float64(k.t)/float64(max(k.s, epsilon)) > alpha {
+			k.calm--
+		}
 		if d.protected(o) {
 			k.level--
 		}
@@ -642,15 +640,8 @@
 		}
 		keys = append(keys, k)
 	}
-	sort.SliceStable(keys, func(i, j int) bool {
-		a, b := keys[i], keys[j]
-		if a.level != b.level {
-			return a.level < b.level
-		}
-		if a.urgent != b.urgent {
-			return a.urgent
-		}
-		return a.r < b.r
+	slices.SortStableFunc(keys, func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.calm, b.calm), cmp.Compare(a.r, b.r))
 	})
 	return keys
 }
@@ -734,12 +725,9 @@
 		}
 	}
 	value := func(k key) float64 { return 1 / (float64(k.r)/sumR + float64(k.s)/sumS) }
-	sort.SliceStable(set, func(i, j int) bool {
-		if set[i].o == a.o || set[j].o == a.o {
-			return set[i].o == a.o
-		}
-		return value(set[i]) > value(set[j])
-	})
+	slices.SortStableFunc(set, func(x, y key) int { return cmp.Compare(value(y), value(x)) })
+	set = slices.DeleteFunc(set, func(k key) bool { return k.o == a.o })
+	set = slices.Insert(set, 0, a)
 	set = set[:min(count, len(set))]
 	var total float64
 	for _, k := range set {
