--- a/choice/choice.go
+++ b/choice/choice.go
@@ -923,6 +923,24 @@
 	return float64(d.limit(now)) + float64(d.cores)*float64(target)/2/float64(max(work, time.Millisecond))
 }
 
+// idle says how long an unused connection may stay: the longest span, halved from the usual one, in which an
+// unused one is taken up again at least once in five seconds of waiting. A new one is taken to cost as much as
+// five seconds of an idle one, by the order of magnitude: a part of an op against a part of the cores.
+// Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen. It
+// should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
+func (d *Desk) idle(now time.Duration) {
+	span := d.facts.span("connections idle")
+	for ; span > d.beat() && len(d.callers) >= 16; span /= 2 { // fewer arrivals show nothing
+		if used, waited := d.reuse(now, span); time.Duration(used)*5*time.Second >= waited {
+			break
+		}
+	}
+	if span > 0 && span != d.idleFor {
+		d.idleFor = span
+		d.port.IdleFor(span)
+	}
+}
+
 // ---- The round
 
 // leaveMargin before the kill all is answered; a pause of the process may come in between.
@@ -937,6 +955,9 @@
 	d.startOps(now)
 	d.grantCalls(now)
 	d.signal(now)
+	if len(d.looks) > 0 && d.looks[len(d.looks)-1].at == now { // at each look, not at each op
+		d.idle(now)
+	}
 	d.setWake(now)
 }
 
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -53,6 +53,7 @@
 func (s *scene) DropKey(id OpID)                     { s.say("drop key %s", id) }
 func (s *scene) Health(good, _ bool)                 { s.say("health %v", good) }
 func (s *scene) Signal(level float64)                { s.say("signal %.2f", level) }
+func (s *scene) IdleFor(span time.Duration)          { s.say("idle connections stay %v", span) }
 func (s *scene) Note(line string)                    { s.say("note %s", line) }
 func (s *scene) Wake(at time.Duration, f func(map[string]float64)) {
 	s.wakes = append(s.wakes, wake{at, f})
--- a/choice/port.go
+++ b/choice/port.go
@@ -70,6 +70,7 @@
 
 	Health(good, fromState bool)
 	Signal(level float64)
+	IdleFor(span time.Duration) // how long an unused connection may stay
 	Wake(at time.Duration, then func(gauges map[string]float64))
 	Note(line string)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -49,6 +49,7 @@
 	state    string
 	probedAt time.Duration
 	level    float64       // the signal last given
+	idleFor  time.Duration // how long unused connections may stay, as last said
 	wakeAt   time.Duration // the timer that is set, 0 for none
 }
 
@@ -235,6 +236,24 @@
 	return total * total / squares
 }
 
+// reuse counts, over the last arrivals, how often a caller came again within the span, and how long its
+// connection waited for that, the span at most.
+func (d *Desk) reuse(now, span time.Duration) (used int, waited time.Duration) {
+	next := map[CallerID]time.Duration{}
+	for i := len(d.callers) - 1; i >= 0; i-- {
+		c := d.callers[i]
+		again, came := next[c.caller]
+		if !came {
+			again = now
+		} else if again-c.at <= span {
+			used++
+		}
+		waited += min(again-c.at, span)
+		next[c.caller] = c.at
+	}
+	return used, waited
+}
+
 func meanHint(ran []sample) time.Duration {
 	var sum time.Duration
 	for _, s := range ran {
--- a/cmd/wirehost/host.go
+++ b/cmd/wirehost/host.go
@@ -207,6 +207,7 @@
 func (in *instance) DropKey(id choice.OpID)                     { in.say("unpin", id) }
 func (in *instance) Health(good, fromState bool)                { in.say("mark-health", good, fromState) }
 func (in *instance) Signal(level float64)                       { in.say("hint-out", level) }
+func (in *instance) IdleFor(span time.Duration)                 { in.say("idle", span) }
 func (in *instance) Note(text string)                           { in.say("print", text) }
 func (in *instance) Wake(at time.Duration, then func(map[string]float64)) {
 	in.armed++
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -37,6 +37,7 @@
 	at("halt", word(map[string]string{"silent": "none"}), "domain", "halt"),
 	at("hears when callers leave", flag, "domain", "hangup-seen"),
 	at("signal heard for", span, "domain", "heard-for-s"),
+	at("connections idle", span, "domain", "idle-s"),
 	at("key KB", number, "domain", "key-kb"),
 	at("given-up call lingers", span, "domain", "linger-s"),
 	at("memory KB", number, "domain", "memory-kb"),
