--- a/choice/choice.go
+++ b/choice/choice.go
@@ -928,19 +928,36 @@
 // five seconds of an idle one, by the order of magnitude: a part of an op against a part of the cores.
 // Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen. It
 // should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
+// While reading is swamped that is wanted: new connections and reading would eat the cores.
 func (d *Desk) idle(now time.Duration) {
-	span := d.facts.span("connections idle")
-	for ; span > d.beat() && len(d.callers) >= 16; span /= 2 { // fewer arrivals show nothing
+	most := d.facts.span("connections idle")
+	span := most
+	for ; span > d.beat() && len(d.callers) >= 16 && !d.swamped(); span /= 2 { // fewer show nothing
 		if used, waited := d.reuse(now, span); time.Duration(used)*5*time.Second >= waited {
 			break
 		}
 	}
+	if span > d.idleFor && d.idleFor > 0 { // one step a look: one moment must not close all
+		span = min(most, d.idleFor*2)
+	} else if span < d.idleFor {
+		span = d.idleFor / 2
+	}
 	if span > 0 && span != d.idleFor {
 		d.idleFor = span
 		d.port.IdleFor(span)
 	}
 }
 
+// swamped tells that, in the mean of the last looks, reading and new connections ask more of the cores than
+// there are.
+func (d *Desk) swamped() bool {
+	var more float64
+	for _, l := range d.looks {
+		more += l.wanting - float64(l.running)
+	}
+	return more > float64(d.cores*len(d.looks))
+}
+
 // ---- The round
 
 // leaveMargin before the kill all is answered; a pause of the process may come in between.
