--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,7 @@
 	o.giveUp = func() { d.nack(o) }
 	waits := float64(o.due-o.came) / float64(max(kind.timeout, 1))
 	o.target -= d.spent(o, waits)
-	d.callers = lastOf(d.callers, from{now, a.Lay, a.Caller, a.Rank, waits}, 64)
+	d.callers = lastOf(d.callers, from{now, a.Lay, a.Caller, a.Rank, waits, a.Retry}, 64)
 	o.overShare = d.beyondQuota(o, now)
 
 	// Danger: an effect that happens twice. A repeat never gets a run; it gets the first one's result.
@@ -868,6 +868,15 @@
 // better off, and a nacked op that walks on through them only costs each its reading.
 // It can hurt where few callers heed the signal and the others are idle.
 func (d *Desk) crowdedOut() bool {
+	again := 0
+	for _, c := range d.callers {
+		if c.again {
+			again++
+		}
+	}
+	if d.state == "well" && again > len(d.callers)/6 {
+		return true
+	}
 	for _, l := range d.looks {
 		if l.pressure < 0.4 {
 			return false
--- a/choice/state.go
+++ b/choice/state.go
@@ -116,6 +116,7 @@
 	caller CallerID
 	rank   float64
 	waits  float64 // the told wait as a share of the op timeout
+	again  bool    // a further try, where these are marked
 }
 
 // lastOf appends and keeps the last n.
