--- a/choice/choice.go
+++ b/choice/choice.go
@@ -107,7 +107,8 @@
 	if !o.Retry {
 		t.came = lastOf(t.came, now, 256)
 	}
-	return t.rate(now) > d.quotaHere(t)
+	const over = 4 * time.Second // some tens of arrivals at the usual loads
+	return float64(t.since(now-over))/over.Seconds() > d.quotaHere(t)
 }
 
 // quotaHere is a tenant's quota at this instance; a quarter more is allowed, as the callers do not
@@ -116,16 +117,6 @@
 	return 1.25 * t.quota / max(1, d.facts.num("fleet size"))
 }
 
-// rate counts over four seconds: some tens of arrivals at the usual loads.
-func (t *tenant) rate(now time.Duration) float64 {
-	const over = 4 * time.Second
-	n := 0
-	for i := len(t.came) - 1; i >= 0 && t.came[i] > now-over; i-- {
-		n++
-	}
-	return float64(n) / over.Seconds()
-}
-
 // keep stores the key of an op that may be repeated, before it can run.
 func (d *Desk) keep(o *op, now time.Duration) bool {
 	span := o.came + o.kind.window - now
@@ -317,52 +308,57 @@
 	}
 }
 
-// callRoom bounds the calls in hand by the told share, at any moment and in the mean. With a tier below no
-// share is told; two calls a core keep the cores busy while calls are no slower than runs.
+// callRoom bounds the calls in hand by the told share, at any moment and in the mean: a share under one call is
+// a part of the time. With a tier below no share is told; two calls a core keep the cores busy while calls are
+// no slower than runs.
 // Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
 func (d *Desk) callRoom(now time.Duration) bool {
-	share := d.facts.num("call share")
-	if d.facts.text("below") != "shared" || share <= 0 {
+	if d.facts.text("below") != "shared" || d.facts.num("call share") <= 0 {
 		return d.callsInHand(now) < 2*d.cores
 	}
+	ease, latest := d.callEase()
+	most, held := d.callTime(now)
+	return float64(d.callsInHand(now)+1) <= max(1, ease*d.facts.num("call share")) &&
+		(held == 0 || held+latest < time.Duration(ease*float64(most)))
+}
+
+// callTime is how long calls may be in hand, summed over the told span, and how long they were: a tenth less
+// than the share, for what all instances start at once.
+func (d *Desk) callTime(now time.Duration) (most, held time.Duration) {
 	over := max(d.facts.span("calls over"), time.Second)
-	var held time.Duration
-	for _, c := range d.calls {
-		until := c.until
-		if c.open {
-			until = now
-		}
-		held += max(0, min(until, now)-max(c.from, now-over))
-	}
-	return float64(d.callsInHand(now)+1) <= max(1, share*d.callEase()) && held.Seconds() < 0.9*share*over.Seconds()
+	return time.Duration(0.9 * d.facts.num("call share") * float64(over)), d.heldCalls(now-over, now)
 }
 
-// callEase is under 1 while calls take over twice their usual time, in proportion.
+// callEase is under 1 while calls take over twice their usual time, in proportion; with it the time that they
+// take now.
 // Danger: what is below gets less done the more it holds, so calls pile up there long after a burst has gone.
 // It should also catch a slow network below; it can hurt where calls are slow but not crowded, so a quarter of
 // the share stays.
-func (d *Desk) callEase() float64 {
+func (d *Desk) callEase() (ease float64, latest time.Duration) {
 	n := len(d.callRan)
 	if n < 16 {
-		return 1
+		return 1, 0
 	}
 	sorted := slices.Sorted(slices.Values(d.callRan))
-	latest := slices.Sorted(slices.Values(d.callRan[n-4:]))
-	usual, now := sorted[n/10], (latest[1]+latest[2])/2
-	return min(1, max(0.25, 2*float64(usual)/float64(max(now, 1))))
+	latest = slices.Sorted(slices.Values(d.callRan[n-8:]))[4]
+	return min(1, max(0.25, 2*float64(sorted[n/2])/float64(max(latest, 1)))), latest
 }
 
 func (d *Desk) call(o *op, now time.Duration) {
-	o.inCall = true
-	o.tries++
-	over := max(d.facts.span("calls over"), time.Second)
-	d.calls = slices.DeleteFunc(d.calls, func(c call) bool { return !c.open && c.until < now-over })
-	d.calls = append(d.calls, call{id: o.ID, from: now, open: true})
 	until := o.due - 2*d.facts.span("tick")
 	if d.skipShare(o.kind) > 0 && d.slack(o, now) > 0 {
 		until = now + d.slack(o, now)*2/3 // leaves time for the poorer answer
 	}
+	if most, held := d.callTime(now); most > 0 { // a slow call may take what is left of the share, no more
+		linger := d.facts.span("given-up call lingers")
+		until = min(until, now+(most-held)/time.Duration(d.callsInHand(now)+1)-linger)
+	}
 	until = max(until, now+d.facts.span("tick"))
+	o.inCall = true
+	o.tries++
+	over := max(d.facts.span("calls over"), time.Second)
+	d.calls = slices.DeleteFunc(d.calls, func(c call) bool { return !c.open && c.until < now-over })
+	d.calls = append(d.calls, call{id: o.ID, from: now, open: true})
 	d.port.Call(o.ID, until, func(how Ending, took time.Duration) { d.called(o, how, took) })
 }
 
@@ -868,13 +864,7 @@
 // better off, and a nacked op that walks on through them only costs each its reading.
 // It can hurt where few callers heed the signal and the others are idle.
 func (d *Desk) crowdedOut() bool {
-	again := 0
-	for _, c := range d.callers {
-		if c.again {
-			again++
-		}
-	}
-	if d.state == "well" && again > len(d.callers)/6 {
+	if d.state == "well" && d.triesAgain() > 1.0/6 {
 		return true
 	}
 	for _, l := range d.looks {
@@ -887,13 +877,7 @@
 
 // unread is how long ops have lately lain unread, the worst of the last half second.
 // Danger: reading eats the cores while the hold is short, and all that is read has spent its time already.
-func (d *Desk) unread(now time.Duration) time.Duration {
-	var lay time.Duration
-	for i := len(d.callers) - 1; i >= 0 && d.callers[i].at > now-500*time.Millisecond; i-- {
-		lay = max(lay, d.callers[i].lay)
-	}
-	return lay
-}
+func (d *Desk) unread(now time.Duration) time.Duration { return d.mostLay(now - 500*time.Millisecond) }
 
 // signal turns the welcome into the value that the site's callers go by.
 func (d *Desk) signal(now time.Duration) {
@@ -937,11 +921,11 @@
 // five seconds of an idle one, by the order of magnitude: a part of an op against a part of the cores.
 // Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen. It
 // should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
-// While reading is swamped that is wanted: new connections and reading would eat the cores.
+// While reading and new connections ask for more than the cores, a full table is the lesser evil.
 func (d *Desk) idle(now time.Duration) {
 	most := d.facts.span("connections idle")
 	span := most
-	for ; span > d.beat() && len(d.callers) >= 16 && !d.swamped(); span /= 2 { // fewer show nothing
+	for ; span > d.beat() && len(d.callers) >= 16 && d.wantingMore() < float64(d.cores); span /= 2 {
 		if used, waited := d.reuse(now, span); time.Duration(used)*5*time.Second >= waited {
 			break
 		}
@@ -957,16 +941,6 @@
 	}
 }
 
-// swamped tells that, in the mean of the last looks, reading and new connections ask more of the cores than
-// there are.
-func (d *Desk) swamped() bool {
-	var more float64
-	for _, l := range d.looks {
-		more += l.wanting - float64(l.running)
-	}
-	return more > float64(d.cores*len(d.looks))
-}
-
 // ---- The round
 
 // leaveMargin before the kill all is answered; a pause of the process may come in between.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -392,7 +392,8 @@
 		}
 		s.desk.callRan = append(s.desk.callRan, took)
 		if i == 19 || i == 23 {
-			fmt.Printf("calls of %v: %.2f of the share\n", took, s.desk.callEase())
+			ease, _ := s.desk.callEase()
+			fmt.Printf("calls of %v: %.2f of the share\n", took, ease)
 		}
 	}
 	s.read(arrival("a", 100*ms, 0.1), arrival("b", 100*ms, 0.1))
--- a/choice/state.go
+++ b/choice/state.go
@@ -284,3 +284,54 @@
 	}
 	return 0
 }
+
+// since counts a tenant's arrivals.
+func (t *tenant) since(from time.Duration) (n int) {
+	for _, at := range t.came {
+		if at > from {
+			n++
+		}
+	}
+	return n
+}
+
+// mostLay is the longest time that an arrival lay unread.
+func (d *Desk) mostLay(from time.Duration) (lay time.Duration) {
+	for _, c := range d.callers {
+		if c.at > from {
+			lay = max(lay, c.lay)
+		}
+	}
+	return lay
+}
+
+// triesAgain is the share of the last arrivals that are marked as further tries.
+func (d *Desk) triesAgain() float64 {
+	again := 0
+	for _, c := range d.callers {
+		if c.again {
+			again++
+		}
+	}
+	return float64(again) / float64(max(1, len(d.callers)))
+}
+
+// heldCalls sums how long calls were in hand.
+func (d *Desk) heldCalls(from, now time.Duration) (held time.Duration) {
+	for _, c := range d.calls {
+		until := c.until
+		if c.open {
+			until = now
+		}
+		held += max(0, min(until, now)-max(c.from, from))
+	}
+	return held
+}
+
+// wantingMore is the mean over the last looks of what wants a core beside the runs.
+func (d *Desk) wantingMore() (more float64) {
+	for _, l := range d.looks {
+		more += (l.wanting - float64(l.running)) / float64(len(d.looks))
+	}
+	return more
+}
