--- a/choice/choice.go
+++ b/choice/choice.go
@@ -885,7 +885,7 @@
 	w := d.welcome()
 	switch d.facts.text("signal") {
 	case "chance":
-		level = math.Round(w*20) / 20 // steps of a twentieth, not to talk at each op
+		level = w
 	case "least rank":
 		ranks := []float64{}
 		for _, c := range d.callers {
@@ -896,10 +896,12 @@
 			level = ranks[min(out, len(ranks)-1)]
 		}
 	case "tokens":
-		level = math.Round(w*d.room(now)/d.spread()*4) / 4
+		// Callers that seldom have more than one op here are told the chance: a fraction counts by chance.
+		level = w * max(1, d.room(now)/d.spread())
 	default:
 		return
 	}
+	level = math.Round(level*20) / 20 // steps of a twentieth, not to talk at each op
 	if level != d.level {
 		d.level = level
 		d.port.Signal(level)
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -31,7 +31,7 @@
 	// ["eor"]
 	// ["store-key",3,"addf482b5d3a91c4",5.002150]
 	// ["serve",3,"addf482b5d3a91c4"]
-	// ["hint-out",3,9.750000]
+	// ["hint-out",3,9.850000]
 	// ["arm",3,6.050000,"1"]
 	// ["eor"]
 	// ["call",3,"addf482b5d3a91c4",8.646000]
