--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,20 +65,17 @@
 	d.callers = lastOf(d.callers, from{now, a.Lay, a.Caller, a.Rank, waits, a.Retry}, 64)
 	o.overShare = d.beyondQuota(o, now)
 
-	// Danger: an effect that happens twice. A repeat never gets a run; it gets the first one's result.
-	if a.RepeatsOf != "" {
+	switch {
+	case a.RepeatsOf != "": // Danger: an effect that happens twice. A repeat gets the first one's result.
 		d.share(o)
-		return
-	}
-	// Danger: more memory than there is, by held ops and keys.
-	if d.memory() > d.memoryRoom() || !d.keep(o, now) {
+	case d.memory() > d.memoryRoom() || !d.keep(o, now): // Danger: more memory than there is.
 		d.nack(o)
 	}
 }
 
-// spent is the time that an op's earlier tries took, as far as it shows. Callers tell the same share of the op
-// timeout for each first try, but what is left of it for a last one; so a told wait that none of the last
-// arrivals had is the rest of the op timeout. A try with its own full wait shows nothing.
+// spent is the time that an op's earlier tries took, as far as it shows. Callers tell the same share of the
+// op timeout for each first try, but what is left of it for a last one; so a told wait that none of the last
+// arrivals had is the rest. A try with its own full wait shows nothing.
 // Danger: further tries whose target latency is past take the cores from those that can still earn.
 func (d *Desk) spent(o *op, waits float64) time.Duration {
 	const alike = 0.005 // clocks are in microseconds; two ages this near are rare among 64
@@ -97,8 +94,8 @@
 	return max(0, o.kind.timeout-(o.due-o.came))
 }
 
-// beyondQuota tells whether the op's tenant now sends this instance more than its part of the quota.
-// Further tries are left out where they are marked, or a nack would count against the tenant.
+// beyondQuota tells whether the op's tenant now sends this instance more than its part of the quota. Further
+// tries are left out where they are marked, or a nack would count against the tenant.
 func (d *Desk) beyondQuota(o *op, now time.Duration) bool {
 	t := d.tenant[o.Tenant]
 	if t == nil || t.quota <= 0 {
@@ -111,8 +108,8 @@
 	return float64(t.since(now-over))/over.Seconds() > d.quotaHere(t)
 }
 
-// quotaHere is a tenant's quota at this instance; a quarter more is allowed, as the callers do not
-// spread a tenant evenly and a few seconds of arrivals are a rough count.
+// quotaHere is a tenant's quota at this instance; a quarter more is allowed, as the callers do not spread a
+// tenant evenly and a few seconds of arrivals are a rough count.
 func (d *Desk) quotaHere(t *tenant) float64 {
 	return 1.25 * t.quota / max(1, d.facts.num("fleet size"))
 }
@@ -188,10 +185,10 @@
 	d.forget(o)
 }
 
-// stayAway is how long a nacked op's caller should send nothing here: the longer the less is welcome, and drawn
-// in half its length, so that callers do not come back all at once.
-// Danger: where ops lie unread, advice is heard late and all callers keep away and come back together, with the
-// cores idle in between. From a well instance it is then cut to an eighth, and the signal does the rest.
+// stayAway is how long a nacked op's caller should send nothing here: the longer the less is welcome, and
+// drawn in half its length, so that callers do not come back all at once.
+// Danger: where ops lie unread, advice is heard late; all callers keep away and come back together, with idle
+// cores in between. From a well instance it is then cut to an eighth, and the signal does the rest.
 func (d *Desk) stayAway() time.Duration {
 	if !d.facts.flag("stay away is passed on") {
 		return 0
@@ -222,14 +219,14 @@
 
 // stop takes off the cores a run that nobody waits for.
 func (d *Desk) stop(o *op) {
-	if d.facts.text("halt") == "drop" || d.facts.text("halt") == "pause" {
+	if d.canStop() {
 		d.port.Stop(o.ID)
 	}
 }
 
 // stopWorthless stops retryable runs that can earn nothing any more, while others wait and no core is free.
 func (d *Desk) stopWorthless(now time.Duration) {
-	if h := d.facts.text("halt"); h != "drop" && h != "pause" || d.coreFree(now) {
+	if !d.canStop() || d.coreFree(now) {
 		return
 	}
 	for _, o := range slices.Clone(d.running) {
@@ -295,7 +292,7 @@
 // grantCalls lets the ops with the least slack call first, within the bound.
 func (d *Desk) grantCalls(now time.Duration) {
 	waiting := slices.DeleteFunc(slices.Clone(d.calling), func(o *op) bool { return o.inCall })
-	slices.SortStableFunc(waiting, func(a, b *op) int { return cmp.Compare(d.slack(a, now), d.slack(b, now)) })
+	slices.SortStableFunc(waiting, func(a, b *op) int { return cmp.Compare(a.came+a.target, b.came+b.target) })
 	for _, o := range waiting {
 		switch {
 		case o.answered:
@@ -308,9 +305,9 @@
 	}
 }
 
-// callRoom bounds the calls in hand by the told share, at any moment and in the mean: a share under one call is
-// a part of the time. With a tier below no share is told; two calls a core keep the cores busy while calls are
-// no slower than runs.
+// callRoom bounds the calls in hand by the told share, at any moment and in the mean: a share under one call
+// is a part of the time. With a tier below no share is told; two calls a core keep the cores busy while calls
+// are no slower than runs.
 // Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
 func (d *Desk) callRoom(now time.Duration) bool {
 	if d.facts.text("below") != "shared" || d.facts.num("call share") <= 0 {
@@ -332,8 +329,8 @@
 // callEase is under 1 while calls take over twice their usual time, in proportion; with it the time that they
 // take now.
 // Danger: what is below gets less done the more it holds, so calls pile up there long after a burst has gone.
-// It should also catch a slow network below; it can hurt where calls are slow but not crowded, so a quarter of
-// the share stays.
+// It should also catch a slow network below; it can hurt where calls are slow but not crowded, so a quarter
+// of the share stays.
 func (d *Desk) callEase() (ease float64, latest time.Duration) {
 	n := len(d.callRan)
 	if n < 16 {
@@ -377,8 +374,8 @@
 		d.running = append(d.running, o)
 		return
 	}
-	// Danger: a call that had its effect is sent again. Only an outcome that proves that it never ran, or an
-	// op that may run again, allows another try; three are enough to outlast a crowded moment.
+	// Danger: a call that had its effect is sent again. Only an outcome that proves that it never ran, or an op
+	// that may run again, allows another try; three are enough to outlast a crowded moment.
 	again := how == Full || how == Unreached || o.kind.repeats == "retryable"
 	switch {
 	case o.answered:
@@ -427,8 +424,7 @@
 
 // scale is how much longer than the mean an op of this hint runs: a line through the last runs, as a part of
 // each, waits on disk and calls above all, does not grow with the hint; in proportion while they are under
-// eight or their hints nearly alike.
-// It is held to a quarter and eight times, since a hint may be rough.
+// eight or their hints nearly alike. It is held to a quarter and eight times, since a hint may be rough.
 func (d *Desk) scale(o *op, ran []sample) float64 {
 	mean := meanHint(ran).Seconds()
 	if mean <= 0 || o.Hint <= 0 {
@@ -450,8 +446,8 @@
 	return time.Duration(float64(d.work(o)) * d.perCore(float64(running)))
 }
 
-// fitted is the run time of a type against the running count: a line by least squares over its last runs,
-// or, while these are few or all of one crowd, in proportion to running per core.
+// fitted is the run time of a type against the running count: a line by least squares over its last runs, or,
+// while these are few or all of one crowd, in proportion to running per core.
 func (d *Desk) fitted(k *opType, running int) time.Duration {
 	ran := k.recent(d.port.Now())
 	points := make([]point, len(ran))
@@ -495,8 +491,8 @@
 // ---- The limit on how many run
 
 // limit is the largest running count whose fit meets the least running slack. It floors at the core count,
-// with the runs that wait off the cores on top, stays at what idle cores have let it grow to, and under
-// the survivable crowd.
+// with the runs that wait off the cores on top, stays at what idle cores have let it grow to, and under the
+// survivable crowd.
 func (d *Desk) limit(now time.Duration) int {
 	least := time.Duration(math.MaxInt64)
 	kinds := map[*opType]bool{}
@@ -519,8 +515,8 @@
 	return min(max(n, d.cores+d.offCores()), d.crowdCeiling())
 }
 
-// offCores is how many runs wait for something else than a core, by the last gauges. Without them the
-// floor would leave cores idle wherever ops wait on disk.
+// offCores is how many runs wait for something else than a core, by the last gauges. Without them the floor
+// would leave cores idle wherever ops wait on disk.
 func (d *Desk) offCores() int {
 	var sum float64
 	n := 0
@@ -565,8 +561,7 @@
 	if len(d.looks) == 0 || d.endings <= d.grownAt || len(d.running) >= d.crowdCeiling() {
 		return false
 	}
-	l := d.looks[len(d.looks)-1]
-	if l.wanting >= 0 && !d.coreFree(now) || l.wanting < 0 && l.busy > 0.95 {
+	if l := d.looks[len(d.looks)-1]; l.wanting >= 0 && !d.coreFree(now) || l.wanting < 0 && l.busy > 0.95 {
 		return false
 	}
 	d.grown, d.grownAt = len(d.running)+1, d.endings
@@ -735,8 +730,8 @@
 // ---- Health from what is observed
 
 // stuck sees that work goes in and none comes out: no run has ended, reached or left a call for far longer
-// than those on the cores should take. It should catch hangs, a dead disk, a lost core, a lock held for
-// ever; it can hurt where one op is far longer than its hint, so a lone run gets eight times its T.
+// than those on the cores should take. It should catch hangs, a dead disk, a lost core, a lock held for ever;
+// it can hurt where one op is far longer than its hint, so a lone run gets eight times its T.
 func (d *Desk) stuck(now time.Duration) bool {
 	if len(d.running) == 0 {
 		return false
@@ -810,13 +805,11 @@
 			}
 		}
 	}
-	if d.state == "stuck" {
+	for _, o := range d.running {
 		// Danger: callers wait for runs that will not end. Retryable ones are told now, while they have time.
-		for _, o := range slices.Clone(d.running) {
-			if o.kind.repeats == "retryable" && !o.answered {
-				o.answered = true
-				d.port.Nack(o.ID, d.stayAway(), false)
-			}
+		if d.state == "stuck" && o.kind.repeats == "retryable" && !o.answered {
+			o.answered = true
+			d.port.Nack(o.ID, d.stayAway(), false)
 		}
 	}
 }
@@ -846,23 +839,15 @@
 	return (float64(waiting)/float64(d.cores) + float64(d.unread(now))) / float64(d.target()/2)
 }
 
-// pressed is the pressure now or in the mean of the last ten looks, whichever is more: callers compare us with
-// others, and a signal that jumps back at each lull draws them all at once.
+// pressed is the pressure now or in the mean of the last ten looks, whichever is more: callers compare us
+// with others, and a signal that jumps back at each lull draws them all at once.
 func (d *Desk) pressed(now time.Duration) float64 {
-	var sum float64
-	n := 0
-	for _, l := range d.looks {
-		if l.at > now-10*d.beat() {
-			sum += l.pressure
-			n++
-		}
-	}
-	return max(d.pressure(now), sum/float64(max(1, n)))
+	return max(d.pressure(now), d.meanPressure(now-10*d.beat()))
 }
 
 // crowdedOut tells that the pressure has lasted for ten looks in spite of the signal: then the others are no
-// better off, and a nacked op that walks on through them only costs each its reading.
-// It can hurt where few callers heed the signal and the others are idle.
+// better off, and a nacked op that walks on through them only costs each its reading. It can hurt where few
+// callers heed the signal and the others are idle.
 func (d *Desk) crowdedOut() bool {
 	if d.state == "well" && d.triesAgain() > 1.0/6 {
 		return true
@@ -876,7 +861,7 @@
 }
 
 // unread is how long ops have lately lain unread, the worst of the last half second.
-// Danger: reading eats the cores while the hold is short, and all that is read has spent its time already.
+// Danger: reading eats the cores while the hold is short, and what is read has spent its time already.
 func (d *Desk) unread(now time.Duration) time.Duration { return d.mostLay(now - 500*time.Millisecond) }
 
 // signal turns the welcome into the value that the site's callers go by.
@@ -919,15 +904,15 @@
 }
 
 // idle says how long an unused connection may stay: the longest span, halved from the usual one, in which an
-// unused one is taken up again at least once in five seconds of waiting. A new one is taken to cost as much as
-// five seconds of an idle one, by the order of magnitude: a part of an op against a part of the cores.
-// Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen. It
-// should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
-// While reading and new connections ask for more than the cores, a full table is the lesser evil.
+// unused one is taken up again at least once in five seconds of waiting. A new one is taken to cost as much
+// as five seconds of an idle one, by the order of magnitude: a part of an op against a part of the cores.
+// Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen.
+// It should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
+// While reading and new connections ask for twice the cores, a full table is the lesser evil.
 func (d *Desk) idle(now time.Duration) {
 	most := d.facts.span("connections idle")
 	span := most
-	for ; span > d.beat() && len(d.callers) >= 16 && d.wantingMore() < float64(d.cores); span /= 2 {
+	for ; span > d.beat() && len(d.callers) >= 16 && d.wantingMore() < float64(2*d.cores); span /= 2 {
 		if used, waited := d.reuse(now, span); time.Duration(used)*5*time.Second >= waited {
 			break
 		}
@@ -1006,8 +991,8 @@
 	}
 }
 
-// beat is the time between looks: a twentieth of the least target latency, several in a run that is worth
-// its target; not so short that timers cost more than they tell, nor so long that a hang goes unseen.
+// beat is the time between looks: a twentieth of the least target latency, several in a run that is worth its
+// target; not so short that timers cost more than they tell, nor so long that a hang goes unseen.
 func (d *Desk) beat() time.Duration {
 	return min(100*time.Millisecond, max(d.target()/20, 2*d.facts.span("tick"), 5*time.Millisecond))
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -335,3 +335,21 @@
 	}
 	return more
 }
+
+// canStop tells whether runs can be taken off the cores.
+func (d *Desk) canStop() bool {
+	return d.facts.text("halt") == "drop" || d.facts.text("halt") == "pause"
+}
+
+// meanPressure is the mean over the last looks.
+func (d *Desk) meanPressure(from time.Duration) float64 {
+	var sum float64
+	n := 0
+	for _, l := range d.looks {
+		if l.at > from {
+			sum += l.pressure
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
