--- a/choice/choice.go
+++ b/choice/choice.go
@@ -182,6 +182,9 @@
 		d.kept = slices.Delete(d.kept, i, i+1)
 	}
 	d.port.Nack(o.ID, d.stayAway(), d.crowdedOut())
+	if !o.overShare { // what is beyond a quota is nacked on a good day too
+		d.nacked = lastOf(d.nacked, true, 64)
+	}
 	d.forget(o)
 }
 
@@ -253,6 +256,7 @@
 	now := d.port.Now()
 	d.hold = without(d.hold, o)
 	d.running = append(d.running, o)
+	d.nacked = lastOf(d.nacked, false, 64)
 	o.started, o.crowd = now, len(d.running)
 	o.giveUp = func() { d.abandon(o) }
 	d.port.Run(o.ID, func() { d.atCall(o) }, func(how Ending, took time.Duration) { d.ended(o, how, took) })
@@ -912,7 +916,7 @@
 func (d *Desk) idle(now time.Duration) {
 	most := d.facts.span("connections idle")
 	span := most
-	for ; span > d.beat() && len(d.callers) >= 16 && d.wantingMore() < float64(2*d.cores); span /= 2 {
+	for ; span > d.beat() && len(d.callers) >= 16 && d.nackedShare() < 0.5; span /= 2 {
 		if used, waited := d.reuse(now, span); time.Duration(used)*5*time.Second >= waited {
 			break
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -41,6 +41,7 @@
 	looks    []look  // the last gauges
 	results  []ended // the last endings, for the share that failed
 	callers  []from  // the last arrivals, for their spread over callers and ranks
+	nacked   []bool  // what became of the last ops decided on: nacked, else started
 	lastLife time.Duration
 
 	leaving  bool
@@ -328,17 +329,15 @@
 	return held
 }
 
-// wantingMore is the mean over the last looks of what wants a core beside the runs.
-func (d *Desk) wantingMore() (more float64) {
-	for _, l := range d.looks {
-		more += (l.wanting - float64(l.running)) / float64(len(d.looks))
+// nackedShare is the share of the last ops that were nacked unstarted.
+func (d *Desk) nackedShare() float64 {
+	n := 0
+	for _, nacked := range d.nacked {
+		if nacked {
+			n++
+		}
 	}
-	return more
-}
-
-// canStop tells whether runs can be taken off the cores.
-func (d *Desk) canStop() bool {
-	return d.facts.text("halt") == "drop" || d.facts.text("halt") == "pause"
+	return float64(n) / float64(max(1, len(d.nacked)))
 }
 
 // meanPressure is the mean over the last looks.
@@ -353,3 +352,8 @@
 	}
 	return sum / float64(max(1, n))
 }
+
+// canStop tells whether runs can be taken off the cores.
+func (d *Desk) canStop() bool {
+	return d.facts.text("halt") == "drop" || d.facts.text("halt") == "pause"
+}
