--- a/choice/choice.go
+++ b/choice/choice.go
@@ -533,7 +533,7 @@
 	if n == 0 {
 		return 0
 	}
-	return int(sum / float64(n))
+	return int(math.Ceil(sum / float64(n)))
 }
 
 // crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
