--- a/choice/choice.go
+++ b/choice/choice.go
@@ -908,16 +908,16 @@
 }
 
 // idle says how long an unused connection may stay: the longest span, halved from the usual one, in which an
-// unused one is taken up again at least once in five seconds of waiting. A new one is taken to cost as much
-// as five seconds of an idle one, by the order of magnitude: a part of an op against a part of the cores.
+// unused one is taken up again once in five seconds of waiting or sooner, longer as far as the cores idle. A
+// new one is taken to cost as much as five seconds of an idle one: part of an op against part of busy cores.
 // Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen.
 // It should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
-// While reading and new connections ask for twice the cores, a full table is the lesser evil.
+// While more is nacked than started a full table is the lesser evil: each try nacked cost a new connection.
 func (d *Desk) idle(now time.Duration) {
 	most := d.facts.span("connections idle")
 	span := most
 	for ; span > d.beat() && len(d.callers) >= 16 && d.nackedShare() < 0.5; span /= 2 {
-		if used, waited := d.reuse(now, span); time.Duration(used)*5*time.Second >= waited {
+		if used, waited := d.reuse(now, span); float64(used)*5 >= waited.Seconds()*d.meanBusy() {
 			break
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -357,3 +357,11 @@
 func (d *Desk) canStop() bool {
 	return d.facts.text("halt") == "drop" || d.facts.text("halt") == "pause"
 }
+
+// meanBusy is the mean share of the cores that was busy at the last looks.
+func (d *Desk) meanBusy() (busy float64) {
+	for _, l := range d.looks {
+		busy += l.busy / float64(len(d.looks))
+	}
+	return busy
+}
