--- a/choice/choice.go
+++ b/choice/choice.go
@@ -105,7 +105,10 @@
 		t.came = lastOf(t.came, now, 256)
 	}
 	const over = 4 * time.Second // some tens of arrivals at the usual loads
-	part := t.quota / max(1, d.facts.num("fleet size")) * over.Seconds()
+	came, quotas := d.tenantsSince(now - over)
+	share := over.Seconds() / max(1, d.facts.num("fleet size"))
+	// Danger: in a storm of unmarked tries all tenants are beyond; the quotas then grow with all that comes.
+	part := t.quota * share * max(1, came/(quotas*share))
 	// Danger: where few ops come a tenant within its quota is beyond it by chance; two deviations are allowed.
 	return float64(t.since(now-over)) > part+2*math.Sqrt(part)
 }
@@ -908,11 +911,11 @@
 // new one is taken to cost as much as five seconds of an idle one: part of an op against part of busy cores.
 // Danger: a table full of connections that are hardly used takes capacity and turns new callers back unseen.
 // It should also catch callers that come and go; it can hurt where a handshake costs far more than an op.
-// While more is nacked than started a full table is the lesser evil: each try nacked cost a new connection.
+// While three of five are nacked a full table is the lesser evil: each try nacked has cost a connection.
 func (d *Desk) idle(now time.Duration) {
 	most := d.facts.span("connections idle")
 	span := most
-	for ; span > d.beat() && len(d.callers) >= 16 && d.nackedShare() < 0.5; span /= 2 {
+	for ; span > d.beat() && len(d.callers) >= 16 && d.nackedShare() < 0.6; span /= 2 {
 		if used, waited := d.reuse(now, span); float64(used)*5 >= waited.Seconds()*d.meanBusy() {
 			break
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -296,6 +296,16 @@
 	return n
 }
 
+// tenantsSince counts the arrivals of all tenants and sums their quotas, in the order told.
+func (d *Desk) tenantsSince(from time.Duration) (came, quotas float64) {
+	told, _ := d.facts["tenants"].([]Facts)
+	for _, f := range told {
+		t := d.tenant[TenantID(f.text("name"))]
+		came, quotas = came+float64(t.since(from)), quotas+t.quota
+	}
+	return came, quotas
+}
+
 // mostLay is the longest time that an arrival lay unread.
 func (d *Desk) mostLay(from time.Duration) (lay time.Duration) {
 	for _, c := range d.callers {
