--- a/choice/choice.go
+++ b/choice/choice.go
@@ -319,7 +319,7 @@
 	ease, latest := d.callEase()
 	most, held := d.callTime(now)
 	return float64(d.callsInHand(now)+1) <= max(1, ease*d.facts.num("call share")) &&
-		(held == 0 || held+latest < time.Duration(ease*float64(most)))
+		(held == 0 || held+4*latest+d.facts.span("given-up call lingers") < time.Duration(ease*float64(most)))
 }
 
 // callTime is how long calls may be in hand, summed over the told span, and how long they were: a tenth less
@@ -329,8 +329,8 @@
 	return time.Duration(0.9 * d.facts.num("call share") * float64(over)), d.heldCalls(now-over, now)
 }
 
-// callEase is under 1 while calls take over twice their usual time, in proportion; with it the time that they
-// take now.
+// callEase is under 1 while calls take over four times their quickest quarter, about twice the usual time, in
+// proportion; with it the time they take now. A quarter is still quick when most have been slow for a while.
 // Danger: what is below gets less done the more it holds, so calls pile up there long after a burst has gone.
 // It should also catch a slow network below; it can hurt where calls are slow but not crowded, so a quarter
 // of the share stays.
@@ -341,7 +341,7 @@
 	}
 	sorted := slices.Sorted(slices.Values(d.callRan))
 	latest = slices.Sorted(slices.Values(d.callRan[n-8:]))[4]
-	return min(1, max(0.25, 2*float64(sorted[n/2])/float64(max(latest, 1)))), latest
+	return min(1, max(0.25, 4*float64(sorted[n/4])/float64(max(latest, 1)))), latest
 }
 
 func (d *Desk) call(o *op, now time.Duration) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -382,7 +382,7 @@
 	// left 2300 slack 300ms
 }
 
-// What is below is crowded: while calls take over twice their usual time, fewer are in hand.
+// What is below is crowded: while calls take over four times their quickest quarter, fewer are in hand.
 func Example_callsCrowded() {
 	s := open(Facts{"below": "shared", "call share": 4.0, "calls over": time.Second, "cores": 4.0})
 	for i := range 24 {
@@ -405,7 +405,7 @@
 	s.desk.Settle()
 	// Output:
 	// calls of 10ms: 1.00 of the share
-	// calls of 100ms: 0.25 of the share
+	// calls of 100ms: 0.40 of the share
 	// 0ms run a
 	// 0ms run b
 	// 0ms call a
