--- a/cmd/wirehost/host.go
+++ b/cmd/wirehost/host.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"lanewheel/choice"
-	"lanewheel/internal/wire"
+	"lanewheel/internal/simwire"
 )
 
 // host turns messages straight into calls on the instances, and their answers into messages.
 type host struct {
-	reader    wire.Reader
-	reply     wire.Reply
+	reader    simwire.Reader
+	reply     simwire.Reply
 	now       time.Duration
 	inBatch   bool
 	instances map[int]*instance
@@ -68,7 +68,7 @@
 	return false, h.event(line)
 }
 
-func (h *host) event(line wire.Line) error {
+func (h *host) event(line simwire.Line) error {
 	who, err := line.Who()
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 	}
 }
 
-func (in *instance) hear(line wire.Line) error {
+func (in *instance) hear(line simwire.Line) error {
 	switch line.Name {
 	case "order":
 		op, err := line.Order()
--- a/internal/wire/facts.go
+++ b/internal/facts/facts.go
@@ -1,7 +1,11 @@
-package wire
+// Package facts translates the settings that an instance is told at its start into the names of package
+// choice. The simulator's host and the real instance read them alike.
+package facts
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -79,23 +83,34 @@
 	"cpu_busy": "cores busy", "runnable": "want a core", "mem_used": "memory used", "sockets": "connections",
 }
 
-func gaugeName(s string) string {
+// Gauge is our name of a gauge.
+func Gauge(s string) string {
 	if ours, known := gaugeNames[s]; known {
 		return ours
 	}
 	return s
 }
 
-func startFacts(info *fastjson.Value) (choice.Facts, error) {
-	facts, err := translate(info, startNames)
+// Gauges are our names of the gauges, in the order in which they are told.
+func Gauges(told *fastjson.Value) []string {
+	var names []string
+	for _, v := range told.GetArray("domain", "meters") {
+		names = append(names, Gauge(string(v.GetStringBytes())))
+	}
+	return names
+}
+
+// Read translates the settings; without cores or op types there is nothing to decide on.
+func Read(told *fastjson.Value) (choice.Facts, error) {
+	facts, err := translate(told, startNames)
 	if err != nil {
-		return nil, fmt.Errorf("boot-info: %w", err)
+		return nil, err
 	}
 	if cores, told := facts["cores"].(float64); !told || cores < 1 {
-		return nil, fmt.Errorf("boot-info: domain.cpus: wants a number of 1 or more")
+		return nil, fmt.Errorf("domain.cpus: wants a number of 1 or more")
 	}
 	if types, told := facts["op types"].([]choice.Facts); !told || len(types) == 0 {
-		return nil, fmt.Errorf("boot-info: classes: wants a list that is not empty")
+		return nil, fmt.Errorf("classes: wants a list that is not empty")
 	}
 	return facts, nil
 }
@@ -149,7 +164,7 @@
 
 func span(v *fastjson.Value) any {
 	if x, isNumber := number(v).(float64); isNumber {
-		return seconds(x)
+		return Seconds(x)
 	}
 	return nil
 }
@@ -201,3 +216,11 @@
 	}
 	return out
 }
+
+// Seconds turns a told time into ours, in whole microseconds as the simulator counts.
+func Seconds(x float64) time.Duration {
+	if math.Abs(x) > 9e9 { // past what a Duration holds
+		return time.Duration(math.MaxInt64)
+	}
+	return time.Duration(math.Round(x*1e6)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/keep/instance.go
@@ -0,0 +1,254 @@
+// Package keep is the instance's memory: the ops in hand, the runs and calls under way, the keys and results
+// that are kept, one timer heap and the buffer pool. The Instance is the module's port: it carries out what
+// the module decides and decides nothing itself.
+package keep
+
+import (
+	"log"
+	"time"
+
+	"lanewheel/choice"
+	"lanewheel/internal/wire"
+)
+
+// Told is what an instance is told at its start.
+type Told struct {
+	Name, Listen, Runtime, Database, Roster string
+
+	Seed      uint64
+	Stop      time.Duration // from SIGTERM to SIGKILL
+	Sockets   int
+	MemoryMB  float64
+	Cores     float64
+	Facts     choice.Facts
+	Gauges    []string // our names, in the order told
+	Readiness bool     // the list follows health
+}
+
+// Instance is one life of a service instance. All of it belongs to the owner loop.
+type Instance struct {
+	*Loop
+	told    Told
+	net     *wire.Net
+	pool    *Pool
+	desk    *choice.Desk // nil until the runtime has come up
+	touched bool         // the module has heard something in this batch
+
+	ops   map[choice.OpID]*op
+	stubs map[*wire.Stub]*caller
+	idle  time.Duration // how long an unused connection may stay, as last said
+
+	runtime  link
+	gauges   map[string]float64 // the last known
+	database database
+	keys     keys
+	health   health
+	say      float64 // rides on all answers; under 0 until it is said
+
+	leaving bool
+}
+
+// Open makes an instance that listens and looks for its runtime.
+func Open(told Told) (*Instance, error) {
+	in := &Instance{Loop: NewLoop(), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
+		stubs: map[*wire.Stub]*caller{}, idle: span(told.Facts, "connections idle")}
+	in.health.good = true
+	var err error
+	in.net, err = wire.NewNet(in.pool, in.Hand, told.Listen, told.Sockets/2+told.Sockets/8, in.accept)
+	if err != nil {
+		return nil, err
+	}
+	in.database.init(in)
+	in.Hand(func() {
+		in.connect()
+		in.sweepConnections()
+		in.report()
+	})
+	return in, nil
+}
+
+// span is a told time, 0 if none was told.
+func span(told choice.Facts, name string) time.Duration {
+	x, _ := told[name].(time.Duration)
+	return x
+}
+
+// Serve runs the owner loop until the instance has stopped.
+func (in *Instance) Serve() {
+	in.Loop.Run(func() {
+		if in.touched && in.desk != nil {
+			in.touched = false
+			in.desk.Settle()
+		}
+		in.net.Flush()
+	})
+}
+
+// op is one op in hand: from its reading until it is answered and its run is over.
+type op struct {
+	id      choice.OpID
+	kind    choice.OpType
+	subject string
+	body    []byte
+	stub    *caller // whom its answer is owed to; nil once it is answered or the caller has left
+	n       uint32  // what the stub calls it
+	run     *run
+	sharing func(choice.Ending, time.Duration) // waits for another's result
+	since   time.Duration                      // when it began to wait
+}
+
+// read takes an op off a connection.
+func (in *Instance) read(c *caller, n uint32, ask wire.Ask) {
+	id := choice.OpID(ask.ID)
+	switch {
+	case c.dying != "": // no more is taken from a connection that is to end
+	case c.open[n] != nil:
+		c.fault("id-twice")
+		return
+	case len(c.open) >= 32:
+		c.fault("too-many-open")
+		return
+	case in.ops[id] != nil:
+		c.fault("op-twice")
+		return
+	}
+	if in.desk == nil {
+		c.conn.Refuse(n, in.with())
+		return
+	}
+	lay := max(0, time.Duration(in.wall.UnixMicro()-ask.At*1000)*time.Microsecond)
+	o := &op{id: id, kind: choice.OpType(ask.Type), subject: ask.Subject, stub: c, n: n,
+		body: append(in.pool.Take(), ask.Body...)}
+	in.ops[id], c.open[n], c.used = o, o, in.now
+	in.touched = true
+	in.desk.Read(choice.Arrival{ID: id, Type: o.kind, Rank: ask.Rank, Write: ask.Subject == "",
+		Subject: ask.Subject, Caller: choice.CallerID(ask.From), Waits: ask.Waits,
+		ToldWait: in.now - lay + ask.Wait, Hint: ask.Cost, KB: ask.KB, Lay: lay,
+		Tenant: choice.TenantID(ask.Tenant), RepeatsOf: in.keys.repeated(in, o)})
+}
+
+// gone hears that the caller of an op has given it up.
+func (in *Instance) gone(o *op) {
+	in.unowe(o)
+	in.touched = true
+	in.desk.Gone(o.id)
+	in.release(o)
+}
+
+// unowe ends the answer that is owed. Danger: whatever crosses, an op is answered once; who takes the caller
+// off it first is the one that answers.
+func (in *Instance) unowe(o *op) *caller {
+	c := o.stub
+	if c != nil {
+		o.stub = nil
+		delete(c.open, o.n)
+		c.used = in.now
+		if c.dying != "" && len(c.open) == 0 {
+			defer c.conn.Close(c.dying)
+		}
+	}
+	return c
+}
+
+// answer sends the one answer, if it is still owed.
+func (in *Instance) answer(o *op, send func(c *wire.Stub, n uint32)) {
+	if c := o.stub; c != nil {
+		send(c.conn, o.n)
+		in.unowe(o)
+	}
+}
+
+func (in *Instance) with() wire.With { return wire.With{Say: in.say} }
+
+// release forgets an op that nothing is owed to any more and that does not run.
+func (in *Instance) release(o *op) {
+	if o.stub != nil || o.run != nil || in.ops[o.id] != o {
+		return
+	}
+	delete(in.ops, o.id)
+	in.pool.Give(o.body)
+	o.body = nil
+	in.keys.over(in, o, nil)
+}
+
+// The rest is choice.Port.
+
+func (in *Instance) Now() time.Duration { return in.now }
+
+func (in *Instance) Run(id choice.OpID, atCall func(), ended func(choice.Ending, time.Duration)) {
+	if o := in.ops[id]; o != nil {
+		o.run = &run{atCall: atCall, ended: ended}
+		if in.runtime.synced {
+			in.runtime.conn.Start(id, o.kind, o.body)
+		}
+	}
+}
+
+func (in *Instance) Stop(id choice.OpID) {
+	if o := in.ops[id]; o != nil && o.run != nil {
+		o.run.stop = true
+		if in.runtime.synced {
+			in.runtime.conn.Stop(id)
+		}
+	}
+}
+
+func (in *Instance) Nack(id choice.OpID, stayAway time.Duration, nowhereElse bool) {
+	if o := in.ops[id]; o != nil {
+		with := in.with()
+		with.After, with.Last = stayAway, nowhereElse
+		in.answer(o, func(c *wire.Stub, n uint32) { c.Refuse(n, with) })
+		in.release(o)
+	}
+}
+
+func (in *Instance) Fail(id choice.OpID) {
+	if o := in.ops[id]; o != nil {
+		in.answer(o, func(c *wire.Stub, n uint32) { c.Failed(n, in.with()) })
+		in.release(o)
+	}
+}
+
+func (in *Instance) Call(id choice.OpID, until time.Duration, done func(choice.Ending, time.Duration)) {
+	if o := in.ops[id]; o != nil && o.run != nil && o.run.wants != 0 {
+		in.database.call(in, o, until, done)
+	}
+}
+
+func (in *Instance) SkipCall(id choice.OpID) {
+	if o := in.ops[id]; o != nil && o.run != nil && o.run.wants != 0 {
+		o.run.omit = o.run.wants
+		if in.runtime.synced {
+			in.runtime.conn.Omit(id, o.run.omit)
+		}
+	}
+}
+
+func (in *Instance) Share(id choice.OpID, ended func(choice.Ending, time.Duration)) {
+	if o := in.ops[id]; o != nil {
+		o.sharing, o.since = ended, in.now
+		in.keys.share(in, o)
+	}
+}
+
+func (in *Instance) KeepKey(id choice.OpID, span time.Duration) {
+	if o := in.ops[id]; o != nil {
+		in.keys.keep(in, o, span)
+	}
+}
+
+func (in *Instance) DropKey(id choice.OpID) { in.keys.drop(id) }
+
+func (in *Instance) Health(good, fromState bool) {
+	in.health.good, in.health.fromState = good, fromState
+}
+func (in *Instance) Signal(level float64)       { in.say = level }
+func (in *Instance) IdleFor(span time.Duration) { in.idle = span }
+func (in *Instance) Note(line string)           { log.Printf("msg=note text=%q", line) }
+
+func (in *Instance) Wake(at time.Duration, then func(map[string]float64)) {
+	in.At(at, func() {
+		in.touched = true // what is due is answered in this batch, whatever becomes of the gauges
+		in.look(then)
+	})
+}
--- /dev/null
+++ b/internal/keep/leave.go
@@ -0,0 +1,50 @@
+package keep
+
+import (
+	"log"
+	"time"
+)
+
+// Leave is the notice to drain: the instance is killed Stop from now. It serves on as the module decides.
+func (in *Instance) Leave() {
+	if in.leaving {
+		return
+	}
+	in.leaving = true
+	killAt := in.now + in.told.Stop
+	log.Printf("msg=leaving kill_ms=%d held=%d", in.told.Stop.Milliseconds(), len(in.ops))
+	if in.health.roster != nil {
+		in.health.roster.Report(false)
+	}
+	if in.desk == nil { // nothing was ever taken in
+		in.part(in.now)
+		return
+	}
+	in.touched = true
+	in.desk.Leave(killAt)
+	// Before the module gives its last answers, a sixth of a second before the kill, no connection comes in
+	// any more and the stubs are asked to go; an op that crosses that comes within 50 ms.
+	in.At(max(in.now, killAt-300*time.Millisecond), func() { in.part(killAt - 60*time.Millisecond) })
+}
+
+// part closes the listening socket, then the connections as they fall empty, and ends when none is left.
+func (in *Instance) part(last time.Duration) {
+	in.net.Deafen()
+	for _, c := range in.stubs {
+		c.parting = in.now
+		c.conn.GoAway()
+	}
+	in.partWhenEmpty(last)
+}
+
+func (in *Instance) partWhenEmpty(last time.Duration) {
+	if len(in.stubs) == 0 || in.now >= last {
+		for _, c := range in.stubs {
+			c.conn.Close("stopped")
+		}
+		log.Printf("msg=stopped connections=%d ops=%d", len(in.stubs), len(in.ops))
+		in.over = true
+		return
+	}
+	in.At(in.now+5*time.Millisecond, func() { in.partWhenEmpty(last) })
+}
--- /dev/null
+++ b/internal/keep/loop.go
@@ -0,0 +1,131 @@
+package keep
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Loop is the owner: the one goroutine that touches the module and all tables. Others hand it calls.
+type Loop struct {
+	mu     sync.Mutex
+	handed []func()
+	wake   chan struct{} // one token: something is handed
+
+	began  time.Time
+	now    time.Duration // since the start, standing still through a batch
+	wall   time.Time     // the same moment on the wall clock
+	timers timers
+	over   bool
+}
+
+// NewLoop starts module time.
+func NewLoop() *Loop {
+	l := &Loop{wake: make(chan struct{}, 1), began: time.Now()}
+	l.wall = l.began
+	return l
+}
+
+// Hand gives calls to the owner, in order. Any goroutine may call it.
+func (l *Loop) Hand(calls ...func()) {
+	l.mu.Lock()
+	l.handed = append(l.handed, calls...)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default: // it is on its way
+	}
+}
+
+// Run takes all that is there as one batch, again and again, and calls after once behind each.
+func (l *Loop) Run(after func()) {
+	alarm := time.NewTimer(time.Hour) // the one system timer, behind the heap
+	var calls []func()
+	for !l.over {
+		if next, due := l.timers.next(); due {
+			alarm.Reset(max(0, next-time.Since(l.began)))
+		}
+		select {
+		case <-l.wake:
+		case <-alarm.C:
+		}
+		l.mu.Lock()
+		calls, l.handed = l.handed, calls[:0]
+		l.mu.Unlock()
+		l.wall = time.Now()
+		l.now = l.wall.Sub(l.began)
+		for i, call := range calls {
+			call()
+			calls[i] = nil
+		}
+		for l.timers.fire(l.now) {
+		}
+		after()
+	}
+	alarm.Stop()
+}
+
+// At has the owner call then at a time since the start. Only the owner may ask for it.
+func (l *Loop) At(at time.Duration, then func()) *Timer {
+	t := &Timer{at: at, then: then}
+	l.timers.add(t)
+	return t
+}
+
+// Timer is one entry of the heap.
+type Timer struct {
+	at   time.Duration
+	nth  uint64 // among those of one time the first asked for is the first to fire
+	then func()
+}
+
+// Drop makes it do nothing. It stays in the heap until its time.
+func (t *Timer) Drop() {
+	if t != nil {
+		t.then = nil
+	}
+}
+
+type timers struct {
+	heap []*Timer
+	nth  uint64
+}
+
+func (t *timers) Len() int { return len(t.heap) }
+func (t *timers) Less(i, j int) bool {
+	a, b := t.heap[i], t.heap[j]
+	return a.at < b.at || a.at == b.at && a.nth < b.nth
+}
+func (t *timers) Swap(i, j int) { t.heap[i], t.heap[j] = t.heap[j], t.heap[i] }
+func (t *timers) Push(x any)    { t.heap = append(t.heap, x.(*Timer)) }
+func (t *timers) Pop() any {
+	last := t.heap[len(t.heap)-1]
+	t.heap = t.heap[:len(t.heap)-1]
+	return last
+}
+
+func (t *timers) add(x *Timer) {
+	t.nth++
+	x.nth = t.nth
+	heap.Push(t, x)
+}
+
+// next is when the first one fires that was not dropped.
+func (t *timers) next() (time.Duration, bool) {
+	for len(t.heap) > 0 && t.heap[0].then == nil {
+		heap.Pop(t)
+	}
+	if len(t.heap) == 0 {
+		return 0, false
+	}
+	return t.heap[0].at, true
+}
+
+// fire calls the first that is due and tells whether there was one.
+func (t *timers) fire(now time.Duration) bool {
+	if at, any := t.next(); !any || at > now {
+		return false
+	}
+	heap.Pop(t).(*Timer).then()
+	return true
+}
--- /dev/null
+++ b/internal/keep/runs.go
@@ -0,0 +1,232 @@
+package keep
+
+import (
+	"log"
+	"strconv"
+	"time"
+
+	"lanewheel/choice"
+	"lanewheel/internal/wire"
+)
+
+// run is an op's run, from its start until its end is read. It says what is to be sent anew on a new link.
+type run struct {
+	atCall func()
+	ended  func(choice.Ending, time.Duration)
+	heard  bool   // the runtime is known to have got the start
+	stop   bool   // it was asked to stop
+	wants  uint64 // the notice by which it stands at a call, 0 when it does not
+	ask    []byte // that call's body
+	give   []byte // the reply given to it, until the run is heard of again
+	omit   uint64 // the notice whose call was left out
+	call   *call  // under way
+}
+
+// link is what is known of the link to the runtime.
+type link struct {
+	conn    *wire.Runtime
+	synced  bool   // all notices of the time without a link have been read
+	last    uint64 // the number of the last notice read
+	fence   string // the mark behind the replayed notices
+	marks   uint64
+	backoff time.Duration
+	asked   string // the mark of the gauges that are awaited
+	looks   []func(map[string]float64)
+	tests   map[string]func(good bool)
+}
+
+func (in *Instance) mark(kind string) string {
+	in.runtime.marks++
+	return kind + "-" + strconv.FormatUint(in.runtime.marks, 10)
+}
+
+// connect opens the link, and again a while after it was refused or lost.
+func (in *Instance) connect() {
+	l := &in.runtime
+	var conn *wire.Runtime
+	again := func() {
+		if l.conn != conn {
+			return
+		}
+		l.conn, l.synced = nil, false
+		l.backoff = min(max(2*l.backoff, 10*time.Millisecond), 500*time.Millisecond)
+		in.At(in.now+l.backoff, in.connect)
+	}
+	conn = in.net.DialRuntime(in.told.Runtime, func(refused error) {
+		if refused != nil {
+			again()
+			return
+		}
+		conn.Sync(l.last)
+	})
+	conn.OnNotice = in.notice
+	conn.OnEnd = func(string) { again() }
+	l.conn = conn
+}
+
+// notice takes one line of the runtime.
+func (in *Instance) notice(n wire.Notice) {
+	l := &in.runtime
+	if n.No > 0 {
+		if n.No <= l.last {
+			return // read on an earlier link
+		}
+		l.last = n.No
+	}
+	switch n.Kind {
+	case "ready":
+		in.ready(n)
+	case "load":
+		in.load(n)
+	case "verdict":
+		if done := l.tests[n.Mark]; done != nil {
+			done(n.Status == "success")
+		}
+	case "end":
+		in.end(n)
+	case "wants":
+		if o := in.ops[choice.OpID(n.ID)]; o != nil && o.run != nil {
+			r := o.run
+			in.database.drop(r.call)
+			r.heard, r.wants, r.give, r.omit, r.call = true, n.No, nil, 0, nil
+			r.ask = append(r.ask[:0], n.Bytes...)
+			in.touched = true
+			r.atCall()
+		}
+	case "nack":
+		in.refused(n)
+	case "info":
+	default:
+		log.Printf("msg=unknown-notice kind=%q", n.Kind)
+	}
+}
+
+// ready opens the module when the runtime comes up, and sets the fence on each link.
+func (in *Instance) ready(n wire.Notice) {
+	log.Printf("msg=ready state=%s runtime_up_ms=%d", n.Status, n.Took.Milliseconds())
+	if in.desk == nil {
+		in.told.Facts["just started"] = n.Status == "booting"
+		now := in.now
+		in.now -= n.Took // the age that a cold instance has counts from its runtime's start
+		in.desk = choice.Open(in.told.Seed, in.told.Facts, in)
+		in.now = now
+		in.touched = true
+	}
+	in.runtime.backoff = 0
+	in.runtime.fence = in.mark("fence")
+	in.runtime.conn.Gauges(in.runtime.fence)
+}
+
+// load takes the gauges. Danger: starting anew what has ended in the time without a link. The fence comes
+// behind all replayed notices, and only then what is still open is sent again.
+func (in *Instance) load(n wire.Notice) {
+	l := &in.runtime
+	in.gauges = map[string]float64{}
+	for i, name := range in.told.Gauges {
+		if i < len(n.Gauges) {
+			in.gauges[name] = n.Gauges[i]
+		}
+	}
+	if n.Mark == l.fence {
+		l.fence, l.synced = "", true
+		in.resend()
+	}
+	if n.Mark == l.asked {
+		in.looked()
+	}
+}
+
+func (in *Instance) resend() {
+	for id, o := range in.ops {
+		r := o.run
+		if r == nil {
+			continue
+		}
+		if !r.heard {
+			in.runtime.conn.Start(id, o.kind, o.body)
+		}
+		if r.stop {
+			in.runtime.conn.Stop(id)
+		}
+		if r.give != nil {
+			in.runtime.conn.Give(id, r.give)
+		}
+		if r.omit != 0 {
+			in.runtime.conn.Omit(id, r.omit)
+		}
+	}
+}
+
+// look asks for the gauges, once for all who want them now, and goes on without them if they take long.
+func (in *Instance) look(then func(map[string]float64)) {
+	l := &in.runtime
+	l.looks = append(l.looks, then)
+	if !l.synced {
+		in.looked()
+		return
+	}
+	if l.asked != "" {
+		return
+	}
+	l.asked = in.mark("look")
+	l.conn.Gauges(l.asked)
+	asked := l.asked
+	// Some round trips on one machine; the last known are a look old, which is worse than none of them.
+	in.At(in.now+5*time.Millisecond, func() {
+		if l.asked == asked {
+			in.looked()
+		}
+	})
+}
+
+func (in *Instance) looked() {
+	l := &in.runtime
+	l.asked = ""
+	looks := l.looks
+	l.looks = nil
+	for _, then := range looks {
+		in.touched = true
+		then(in.gauges)
+	}
+}
+
+var ends = map[string]choice.Ending{
+	"success": choice.Acked, "failure": choice.Failed, "interrupted": choice.Cancelled, "nothing": choice.Moot,
+}
+
+// end takes the end of a run. One that went well or failed answers its op.
+func (in *Instance) end(n wire.Notice) {
+	o := in.ops[choice.OpID(n.ID)]
+	if o == nil || o.run == nil {
+		return
+	}
+	how, known := ends[n.Status]
+	if !known {
+		log.Printf("msg=unknown-end status=%q", n.Status)
+		how = choice.Failed
+	}
+	r := o.run
+	in.database.drop(r.call)
+	o.run = nil
+	switch how {
+	case choice.Acked:
+		in.keys.over(in, o, n.Bytes)
+		in.answer(o, func(c *wire.Stub, no uint32) { c.Answer(no, n.Bytes, in.with()) })
+	case choice.Failed:
+		in.answer(o, func(c *wire.Stub, no uint32) { c.Failed(no, in.with()) })
+	}
+	in.touched = true
+	r.ended(how, n.Took)
+	if how == choice.Moot { // nothing ran here, so an answer that is owed all the same can only be this
+		in.answer(o, func(c *wire.Stub, no uint32) { c.Failed(no, in.with()) })
+	}
+	in.release(o)
+}
+
+// refused hears that a command was not carried out. A start that was not ends its op.
+func (in *Instance) refused(n wire.Notice) {
+	log.Printf("msg=command-refused command=%s op=%s", n.Status, n.ID)
+	if o := in.ops[choice.OpID(n.ID)]; o != nil && o.run != nil && n.Status == "start" {
+		in.end(wire.Notice{Kind: "end", ID: n.ID, Status: "failure"})
+	}
+}
--- /dev/null
+++ b/internal/life/life.go
@@ -0,0 +1,98 @@
+// Package life is the start and the stop of a service instance.
+package life
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"lanewheel/internal/facts"
+	"lanewheel/internal/keep"
+)
+
+// Live starts the instance that the environment tells of and serves until it is told to go.
+func Live() error {
+	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
+	told, err := tell(os.Getenv("RELAY_CONFIG"))
+	if err != nil {
+		return err
+	}
+	// The poller waits in the kernel on a processor of its own; with a single one the owner loop would wait
+	// for it to be taken back. The limit on CPU holds for both together.
+	runtime.GOMAXPROCS(int(math.Ceil(told.Cores)) + 1)
+	// Half the limit: the rest is for what the kernel and the binary itself take.
+	debug.SetMemoryLimit(int64(told.MemoryMB * (1 << 19)))
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM)
+	in, err := keep.Open(told)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for range signals {
+			in.Hand(in.Leave)
+		}
+	}()
+	log.Printf("msg=listening name=%s addr=%s", told.Name, told.Listen)
+	in.Serve()
+	return nil
+}
+
+// tell reads the configuration.
+func tell(path string) (keep.Told, error) {
+	var told keep.Told
+	if path == "" {
+		return told, errors.New("RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return told, err
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return told, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, to := range map[string]*string{"name": &told.Name, "listen": &told.Listen, "runtime": &told.Runtime,
+		"db": &told.Database, "roster": &told.Roster} {
+		*to = string(v.GetStringBytes(name))
+		if *to == "" {
+			return told, fmt.Errorf("%s: %s: wants text", path, name)
+		}
+	}
+	for name, to := range map[string]*float64{"cores": &told.Cores, "memory_mb": &told.MemoryMB} {
+		if *to = v.GetFloat64("limits", name); *to <= 0 {
+			return told, fmt.Errorf("%s: limits.%s: wants a number over 0", path, name)
+		}
+	}
+	if told.Sockets = v.GetInt("limits", "sockets"); told.Sockets < 32 {
+		return told, fmt.Errorf("%s: limits.sockets: wants a number of 32 or more", path)
+	}
+	told.Stop = time.Duration(v.GetFloat64("stop_ms") * float64(time.Millisecond))
+	seed := string(v.GetStringBytes("seed"))
+	if told.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		h := fnv.New64a()
+		h.Write([]byte(seed))
+		told.Seed = h.Sum64()
+	}
+	settings := v.Get("settings")
+	if settings == nil {
+		return told, fmt.Errorf("%s: settings: wants an object", path)
+	}
+	if told.Facts, err = facts.Read(settings); err != nil {
+		return told, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	told.Gauges = facts.Gauges(settings)
+	told.Readiness = settings.GetBool("domain", "readiness")
+	return told, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/simwire/wire.go
@@ -1,6 +1,6 @@
-// Package wire reads and writes the simulator's wire, JSON one array a line, and translates its names
+// Package simwire reads and writes the simulator's wire, JSON one array a line, and translates its names
 // into those of package choice. It decides nothing.
-package wire
+package simwire
 
 import (
 	"errors"
@@ -12,6 +12,7 @@
 	"github.com/valyala/fastjson"
 
 	"lanewheel/choice"
+	"lanewheel/internal/facts"
 )
 
 // Line is one message. It stays valid until its Reader parses the next.
@@ -178,15 +179,7 @@
 	if x < 0 {
 		f.fault(field, "a time of 0 or more")
 	}
-	return seconds(x)
-}
-
-// seconds turns the wire's time into ours; the simulator counts in microseconds.
-func seconds(x float64) time.Duration {
-	if math.Abs(x) > 9e9 { // past what a Duration holds
-		return time.Duration(math.MaxInt64)
-	}
-	return time.Duration(math.Round(x*1e6)) * time.Microsecond
+	return facts.Seconds(x)
 }
 
 var endings = map[int64]choice.Ending{
@@ -234,11 +227,11 @@
 	if f.err != nil {
 		return 0, nil, f.err
 	}
-	facts, err := startFacts(info)
+	told, err := facts.Read(info)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%s: %w", l.Name, err)
+		return 0, nil, fmt.Errorf("%s: boot-info: %w", l.Name, err)
 	}
-	return seed, facts, nil
+	return seed, told, nil
 }
 
 // Order reads an op.
@@ -252,10 +245,10 @@
 	a.Subject = f.textOr("path-key")
 	a.Caller = choice.CallerID(f.integer("from"))
 	if until := f.numberOr0("valid-until-s"); until > 0 {
-		a.Waits, a.ToldWait = true, seconds(until)
+		a.Waits, a.ToldWait = true, facts.Seconds(until)
 	}
 	if hint := f.numberOr0("expected-s"); bits&hinted != 0 && hint > 0 {
-		a.Hint = seconds(hint)
+		a.Hint = facts.Seconds(hint)
 	}
 	a.KB, a.Lay = f.number("kb"), f.span("lay-s")
 	a.Tenant = choice.TenantID(f.textOr("billing"))
@@ -279,7 +272,7 @@
 			if err != nil {
 				f.fault("health-info."+string(key), "a number")
 			}
-			gauges[gaugeName(string(key))] = x
+			gauges[facts.Gauge(string(key))] = x
 		})
 	}
 	return token, gauges, f.err
--- /dev/null
+++ b/internal/wire/link.go
@@ -0,0 +1,357 @@
+// Package wire is what a service instance speaks: one file a party, with its own incremental parsers and the
+// connection objects whose callbacks the instance gives. It decides nothing and keeps nothing of an op.
+package wire
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// BufferSize is the one size of all buffers: the longest line of the runtime, a result of 4 KiB in base64
+// with its fields, takes 6 KiB.
+const BufferSize = 8 << 10
+
+// Buffers is the pool that buffers are taken from and given back to.
+type Buffers interface {
+	Take() []byte // empty, of BufferSize
+	Give([]byte)
+}
+
+// Net is the one poller that all connections share. Its callbacks run beside the owner loop, which alone
+// calls the methods here and is handed all that is read.
+type Net struct {
+	Buffers
+	engine *nbio.Engine
+	hand   func(...func())
+	gate   *gate
+	dirty  []*Link
+	dials  map[string]chan func() // those that wait, by party; the owner's
+	open   atomic.Int64           // connections that hold a descriptor
+}
+
+// mostUnwritten is what one peer may leave unread: the answers to 32 ops with the longest results.
+const mostUnwritten = 160 << 10
+
+// NewNet starts the poller and takes in as many connections as most, all parties' together. accept is called,
+// beside the owner loop, with each one.
+func NewNet(buffers Buffers, hand func(...func()), listen string, most int, accept func(*Link)) (*Net, error) {
+	logging.SetLevel(logging.LevelError)
+	n := &Net{Buffers: buffers, hand: hand, dials: map[string]chan func(){}}
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listen}, NPoller: 1,
+		Listen: func(network, addr string) (net.Listener, error) {
+			l, err := net.Listen(network, addr)
+			if err != nil {
+				return nil, err
+			}
+			n.gate = &gate{TCPListener: l.(*net.TCPListener), net: n, most: int64(most), idle: make(chan struct{})}
+			return n.gate, nil
+		},
+		ReadBufferSize: BufferSize, MaxWriteBufferSize: mostUnwritten,
+		MaxConnReadTimesPerEventLoop: 16}) // 128 KiB of one peer before the next one's turn
+	n.engine.OnOpen(func(c *nbio.Conn) {
+		n.open.Add(1)
+		if l, dialled := c.Session().(*Link); dialled {
+			l.opened(c)
+		} else {
+			accept(n.link(c, "stub"))
+		}
+	})
+	n.engine.OnData(func(c *nbio.Conn, b []byte) {
+		if l, is := c.Session().(*Link); is {
+			l.read(b)
+		}
+	})
+	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
+		if l, is := c.Session().(*Link); is && l.unwritten.Add(-int64(size)) == 0 && l.closing.Load() {
+			n.hand(l.shut)
+		}
+	})
+	n.engine.OnClose(func(c *nbio.Conn, err error) {
+		if l, is := c.Session().(*Link); is {
+			n.open.Add(-1)
+			n.hand(func() { l.end(err) })
+		}
+	})
+	return n, n.engine.Start()
+}
+
+// Stop closes everything.
+func (n *Net) Stop() { n.engine.Stop() }
+
+// Flush writes what the batch has gathered, each connection's answers together.
+func (n *Net) Flush() {
+	for _, l := range n.dirty {
+		l.dirty = false
+		l.flush()
+	}
+	n.dirty = n.dirty[:0]
+}
+
+// Link is one connection. parse, fault and ended are its callbacks.
+type Link struct {
+	net   *Net
+	nb    *nbio.Conn
+	party string
+	began time.Time
+	// parse takes one message off the front and gives what the owner loop is to do with it: 0 if there is no
+	// whole one, or a code for the reason that it can't be read. It is called beside the owner loop.
+	parse func(b []byte) (n int, call func(), fault string)
+	fault func(code string) // what to do about a message that can't be read; the link is closed if nil
+	ended func(code string)
+	// opened hears of a connection that we dialled, before anything is read from it.
+	opened func(c *nbio.Conn)
+
+	part      []byte // an unfinished message; the poller's
+	deaf      bool   // reads on, to hear of the close, but takes nothing in; the poller's
+	out       []byte // what the next flush writes; the owner's
+	dirty     bool
+	gone      bool
+	why       string
+	unwritten atomic.Int64
+	closing   atomic.Bool
+}
+
+func (n *Net) link(c *nbio.Conn, party string) *Link {
+	l := &Link{net: n, nb: c, party: party, began: time.Now()}
+	c.SetSession(l)
+	return l
+}
+
+// dial opens a connection; ready is called with nil once it stands. A refused one proves that nothing was sent.
+// Danger: the library's own DialAsync (v1.6.8) takes the first four bytes of an address that has sixteen, and
+// so connects to 0.0.0.0. Each party has one goroutine that dials instead, and one that hangs holds up no other.
+func (n *Net) dial(l *Link, addr string, ready func(refused error)) {
+	queue := n.dials[l.party]
+	if queue == nil {
+		queue = make(chan func(), 1024) // more than there are descriptors for
+		n.dials[l.party] = queue
+		go func() {
+			for next := range queue {
+				next()
+			}
+		}()
+	}
+	queue <- func() {
+		conn, err := net.DialTimeout("tcp", addr, 2*time.Second)
+		var c *nbio.Conn
+		if err == nil {
+			c, err = nbio.NBConn(conn)
+		}
+		if err != nil {
+			n.hand(func() { ready(err) })
+			return
+		}
+		c.SetSession(l)
+		l.opened = func(c *nbio.Conn) {
+			n.hand(func() {
+				l.nb = c
+				if l.why != "" { // closed while it was being opened
+					l.shut()
+				}
+				ready(nil)
+			})
+		}
+		_, _ = n.engine.AddConn(c) // a failure closes it, which is told
+	}
+}
+
+// read runs on the poller: it takes whole messages off the bytes and hands them over together.
+func (l *Link) read(b []byte) {
+	var calls []func()
+	fault := ""
+	for len(b) > 0 && !l.deaf {
+		if len(l.part) == 0 {
+			var n int
+			n, fault = l.messages(b, &calls)
+			b = b[n:]
+			if fault != "" || len(b) == 0 {
+				break
+			}
+			if len(b) >= BufferSize {
+				fault = "too-long"
+				break
+			}
+			if l.part == nil {
+				l.part = l.net.Take()
+			}
+			l.part = append(l.part[:0], b...)
+			break
+		}
+		room := min(len(b), BufferSize-len(l.part))
+		if room == 0 {
+			fault = "too-long"
+			break
+		}
+		l.part = append(l.part, b[:room]...)
+		b = b[room:]
+		var n int
+		n, fault = l.messages(l.part, &calls)
+		l.part = l.part[:copy(l.part, l.part[n:])]
+		if fault != "" {
+			break
+		}
+	}
+	if len(l.part) == 0 && l.part != nil {
+		l.net.Give(l.part)
+		l.part = nil
+	}
+	if fault != "" {
+		l.deaf = true
+		calls = append(calls, func() {
+			if l.fault == nil {
+				l.Close(fault)
+			} else {
+				l.fault(fault)
+			}
+		})
+	}
+	if len(calls) > 0 {
+		l.net.hand(calls...)
+	}
+}
+
+func (l *Link) messages(b []byte, calls *[]func()) (used int, fault string) {
+	for used < len(b) {
+		n, call, fault := l.parse(b[used:])
+		if fault != "" || n == 0 {
+			return used, fault
+		}
+		used += n
+		if call != nil {
+			*calls = append(*calls, call)
+		}
+	}
+	return used, ""
+}
+
+// room gives the bytes gathered for the next write, to append a message of at most BufferSize to.
+func (l *Link) room() []byte {
+	if l.out == nil {
+		l.out = l.net.Take()
+	}
+	if !l.dirty {
+		l.dirty = true
+		l.net.dirty = append(l.net.dirty, l)
+	}
+	return l.out
+}
+
+// put takes back what room gave, with the message behind it.
+func (l *Link) put(out []byte) {
+	if cap(out) > BufferSize { // grown past its buffer: written at once, so that the pool keeps one size
+		l.net.Give(l.out)
+		l.out = nil
+		l.write(out)
+		return
+	}
+	l.out = out
+}
+
+func (l *Link) flush() {
+	if l.out == nil {
+		return
+	}
+	out := l.out
+	l.out = nil
+	l.write(out)
+	l.net.Give(out)
+}
+
+func (l *Link) write(b []byte) {
+	if l.gone || l.nb == nil || len(b) == 0 {
+		return
+	}
+	l.unwritten.Add(int64(len(b)))
+	_, _ = l.nb.Write(b) // a failure closes the connection, which is told by its callback
+}
+
+// Close ends the connection once all that was gathered for it is written.
+func (l *Link) Close(code string) {
+	if l.why == "" {
+		l.why = code
+	}
+	if l.gone || l.nb == nil || l.closing.Load() {
+		return
+	}
+	l.flush()
+	l.closing.Store(true)
+	if l.unwritten.Load() <= 0 {
+		l.shut()
+	}
+}
+
+func (l *Link) shut() {
+	if !l.gone {
+		_ = l.nb.Close()
+	}
+}
+
+// end leaves the one line of the connection's end, with a code for the reason.
+func (l *Link) end(err error) {
+	if l.gone {
+		return
+	}
+	l.gone = true
+	code := l.why
+	var no syscall.Errno
+	switch {
+	case code != "":
+	case err == nil, errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
+		code = "peer-closed"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		code = "peer-reset"
+	case errors.As(err, &no):
+		code = "errno-" + no.Error()
+	default:
+		code = "never-reads"
+	}
+	log.Printf("msg=end party=%s code=%q open_ms=%d", l.party, code, time.Since(l.began).Milliseconds())
+	if l.out != nil {
+		l.net.Give(l.out)
+		l.out = nil
+	}
+	if l.ended != nil {
+		l.ended(code)
+	}
+}
+
+// gate is the listening socket. Danger: at the descriptor limit accepting fails again and again and eats the
+// core, and takes the descriptors of our own links. It holds back what is over the bound, in the backlog.
+type gate struct {
+	*net.TCPListener
+	net  *Net
+	most int64
+	shut atomic.Bool
+	idle chan struct{}
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		if g.shut.Load() {
+			<-g.idle // the poller would ask again at once, for ever
+		}
+		if g.net.open.Load() >= g.most {
+			time.Sleep(2 * time.Millisecond)
+			continue
+		}
+		c, err := g.TCPListener.Accept()
+		if err == nil {
+			return c, nil
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// Deafen closes the listening socket, after all that had come in to it was taken.
+func (n *Net) Deafen() {
+	n.gate.shut.Store(true)
+	_ = n.gate.Close()
+}
