Backlog taken before the listening socket closes; reading held back; bounds on ops in hand

Read through against the issue, each a danger rather than a loss seen: closing a listening socket resets what waits in its backlog (link.go Deafen: a filter that drops new ones first); a flood of messages filled the owner's queue (loop.go HandRead waits); 32 ops a connection could hold 160 MB of buffers (instance.go most); a call that was never sent was told as one that may have run (calls.go cut); the bound on connections counted our own.

--- a/internal/keep/calls.go
+++ b/internal/keep/calls.go
@@ -28,6 +28,7 @@
 	began time.Duration
 	until time.Duration
 	on    *held
+	sent  bool
 	limit *Timer
 	done  func(choice.Ending, time.Duration)
 }
@@ -41,7 +42,7 @@
 	d.drop(o.run.call) // a second call gives up the first
 	c := &call{op: o, began: in.now, until: until, done: done}
 	o.run.call = c
-	c.limit = in.At(until, func() { d.end(in, c, choice.GivenUp) })
+	c.limit = in.At(until, func() { d.end(in, c, c.cut(choice.GivenUp)) })
 	for len(d.idle) > 0 {
 		h := d.idle[len(d.idle)-1]
 		d.idle = d.idle[:len(d.idle)-1]
@@ -79,14 +80,14 @@
 	h.conn.OnEnd = func(string) {
 		d.open--
 		if h.call != nil {
-			d.end(in, h.call, choice.Broken)
+			d.end(in, h.call, h.call.cut(choice.Broken))
 		}
 		d.next(in)
 	}
 }
 
 func (d *database) put(in *Instance, h *held, c *call) {
-	h.call, c.on = c, h
+	h.call, c.on, c.sent = c, h, true
 	h.conn.Call(in.told.Database, c.op.id, c.until-in.now, c.op.run.ask)
 }
 
@@ -159,6 +160,14 @@
 	c.done(how, in.now-c.began)
 }
 
+// cut is how a call comes out that was cut short. One that was never sent can't have run.
+func (c *call) cut(how choice.Ending) choice.Ending {
+	if c.sent {
+		return how
+	}
+	return choice.Unreached
+}
+
 // drop gives a call up: one that is on its way ends with its connection, as nothing else would end it there.
 func (d *database) drop(c *call) {
 	if c == nil {
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -45,7 +45,10 @@
 	health   health
 	say      float64 // rides on all answers; under 0 until it is said
 
-	leaving bool
+	most int // ops in hand
+
+	leaving bool // it was told to go
+	parting bool // and asks all connections to
 }
 
 // Open makes an instance that listens and looks for its runtime.
@@ -53,8 +56,11 @@
 	in := &Instance{Loop: NewLoop(), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
 		stubs: map[*wire.Stub]*caller{}, idle: span(told.Facts, "connections idle")}
 	in.health.good = true
+	// A quarter of the memory is for bodies in hand; the module's own bound is far below it where ops are large.
+	in.most = int(told.MemoryMB*(1<<20)) / 4 / wire.BufferSize
 	var err error
-	in.net, err = wire.NewNet(in.pool, in.Hand, told.Listen, told.Sockets/2+told.Sockets/8, in.accept)
+	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed.
+	in.net, err = wire.NewNet(in.pool, in.Hand, in.HandRead, told.Listen, told.Sockets*5/8, in.accept)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +107,6 @@
 func (in *Instance) read(c *caller, n uint32, ask wire.Ask) {
 	id := choice.OpID(ask.ID)
 	switch {
-	case c.dying != "": // no more is taken from a connection that is to end
 	case c.open[n] != nil:
 		c.fault("id-twice")
 		return
@@ -112,7 +117,9 @@
 		c.fault("op-twice")
 		return
 	}
-	if in.desk == nil {
+	// Danger: more bodies than there is memory for. Nothing is taken either before the runtime has come up, nor
+	// from a connection that is to end.
+	if in.desk == nil || len(in.ops) >= in.most || c.dying != "" {
 		c.conn.Refuse(n, in.with())
 		return
 	}
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -31,10 +31,14 @@
 func (in *Instance) part(last time.Duration) {
 	in.net.Deafen()
 	for _, c := range in.stubs {
-		c.parting = in.now
-		c.conn.GoAway()
+		c.part()
 	}
-	in.partWhenEmpty(last)
+	// Time for those to be accepted that had connected before; they are asked to go when they show up.
+	in.parting = true
+	in.At(in.now+10*time.Millisecond, func() {
+		in.net.Shut()
+		in.partWhenEmpty(last)
+	})
 }
 
 func (in *Instance) partWhenEmpty(last time.Duration) {
--- a/internal/keep/loop.go
+++ b/internal/keep/loop.go
@@ -10,6 +10,7 @@
 type Loop struct {
 	mu     sync.Mutex
 	handed []func()
+	taken  *sync.Cond    // the owner has taken what was handed
 	wake   chan struct{} // one token: something is handed
 
 	began  time.Time
@@ -23,6 +24,7 @@
 func NewLoop() *Loop {
 	l := &Loop{wake: make(chan struct{}, 1), began: time.Now()}
 	l.wall = l.began
+	l.taken = sync.NewCond(&l.mu)
 	return l
 }
 
@@ -37,6 +39,18 @@
 	}
 }
 
+// HandRead is for what is read from connections. Danger: peers that send faster than the owner takes would fill
+// the memory; the poller waits here, and they wait in the kernel. It must hold no connection's lock.
+func (l *Loop) HandRead(calls ...func()) {
+	const most = 4096 // some batches of the busiest day, 32 MiB of buffers
+	l.mu.Lock()
+	for len(l.handed) > most {
+		l.taken.Wait()
+	}
+	l.mu.Unlock()
+	l.Hand(calls...)
+}
+
 // Run takes all that is there as one batch, again and again, and calls after once behind each.
 func (l *Loop) Run(after func()) {
 	alarm := time.NewTimer(time.Hour) // the one system timer, behind the heap
@@ -51,6 +65,7 @@
 		}
 		l.mu.Lock()
 		calls, l.handed = l.handed, calls[:0]
+		l.taken.Signal()
 		l.mu.Unlock()
 		l.wall = time.Now()
 		l.now = l.wall.Sub(l.began)
--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -39,6 +39,9 @@
 	in.Hand(func() {
 		c.used = in.now
 		in.stubs[s] = c
+		if in.parting {
+			c.part()
+		}
 	})
 }
 
@@ -53,6 +56,14 @@
 	}
 }
 
+// part asks a stub to send nothing new here.
+func (c *caller) part() {
+	if c.parting == 0 {
+		c.parting = max(c.in.now, 1)
+		c.conn.GoAway()
+	}
+}
+
 // sweepConnections asks those to go away that have been unused for as long as the module allows.
 func (in *Instance) sweepConnections() {
 	// How long a stub has to close after goaway; an op that crosses it comes within 50 ms.
@@ -63,8 +74,7 @@
 		case c.parting > 0 && in.now-max(c.parting, c.used) > partingFor:
 			c.conn.Close("unused")
 		case c.parting == 0 && in.idle > 0 && in.now-c.used > in.idle:
-			c.parting = in.now
-			c.conn.GoAway()
+			c.part()
 		}
 	}
 	// A sixteenth of the usual span is near enough; it is ten times a second at most.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -30,21 +30,22 @@
 type Net struct {
 	Buffers
 	engine *nbio.Engine
-	hand   func(...func())
+	hand   func(...func()) // never waits
+	read   func(...func()) // waits while the owner has too much to do; for the poller's reading alone
 	gate   *gate
 	dirty  []*Link
 	dials  map[string]chan func() // those that wait, by party; the owner's
-	open   atomic.Int64           // connections that hold a descriptor
+	stubs  atomic.Int64           // connections that were accepted and are not closed
 }
 
 // mostUnwritten is what one peer may leave unread: the answers to 32 ops with the longest results.
 const mostUnwritten = 160 << 10
 
-// NewNet starts the poller and takes in as many connections as most, all parties' together. accept is called,
-// beside the owner loop, with each one.
-func NewNet(buffers Buffers, hand func(...func()), listen string, most int, accept func(*Link)) (*Net, error) {
+// NewNet starts the poller and takes in as many connections as most. accept is called, beside the owner loop,
+// with each one.
+func NewNet(buffers Buffers, hand, read func(...func()), listen string, most int, accept func(*Link)) (*Net, error) {
 	logging.SetLevel(logging.LevelError)
-	n := &Net{Buffers: buffers, hand: hand, dials: map[string]chan func(){}}
+	n := &Net{Buffers: buffers, hand: hand, read: read, dials: map[string]chan func(){}}
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listen}, NPoller: 1,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := net.Listen(network, addr)
@@ -57,10 +58,10 @@
 		ReadBufferSize: BufferSize, MaxWriteBufferSize: mostUnwritten,
 		MaxConnReadTimesPerEventLoop: 16}) // 128 KiB of one peer before the next one's turn
 	n.engine.OnOpen(func(c *nbio.Conn) {
-		n.open.Add(1)
 		if l, dialled := c.Session().(*Link); dialled {
 			l.opened(c)
 		} else {
+			n.stubs.Add(1)
 			accept(n.link(c, "stub"))
 		}
 	})
@@ -76,16 +77,15 @@
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		if l, is := c.Session().(*Link); is {
-			n.open.Add(-1)
+			if l.opened == nil {
+				n.stubs.Add(-1)
+			}
 			n.hand(func() { l.end(err) })
 		}
 	})
 	return n, n.engine.Start()
 }
 
-// Stop closes everything.
-func (n *Net) Stop() { n.engine.Stop() }
-
 // Flush writes what the batch has gathered, each connection's answers together.
 func (n *Net) Flush() {
 	for _, l := range n.dirty {
@@ -214,7 +214,7 @@
 		})
 	}
 	if len(calls) > 0 {
-		l.net.hand(calls...)
+		l.net.read(calls...)
 	}
 }
 
@@ -324,7 +324,7 @@
 }
 
 // gate is the listening socket. Danger: at the descriptor limit accepting fails again and again and eats the
-// core, and takes the descriptors of our own links. It holds back what is over the bound, in the backlog.
+// core, and takes the descriptors of our own links. It holds back in the backlog what is over the bound.
 type gate struct {
 	*net.TCPListener
 	net  *Net
@@ -338,20 +338,36 @@
 		if g.shut.Load() {
 			<-g.idle // the poller would ask again at once, for ever
 		}
-		if g.net.open.Load() >= g.most {
-			time.Sleep(2 * time.Millisecond)
+		// Some round trips on one machine: short against an op, long against a core.
+		const again = 2 * time.Millisecond
+		if g.net.stubs.Load() >= g.most {
+			time.Sleep(again)
 			continue
 		}
 		c, err := g.TCPListener.Accept()
 		if err == nil {
 			return c, nil
 		}
-		time.Sleep(2 * time.Millisecond)
+		time.Sleep(again)
 	}
 }
 
-// Deafen closes the listening socket, after all that had come in to it was taken.
+// Deafen lets no further connection come about. Danger: a listening socket that is closed resets what it has
+// not accepted yet, and the ops written there are lost. The kernel drops what asks for a connection from here
+// on; those that stand already are accepted until Shut.
 func (n *Net) Deafen() {
+	raw, err := n.gate.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		drop := []syscall.SockFilter{*syscall.LsfStmt(syscall.BPF_RET|syscall.BPF_K, 0)}
+		_ = syscall.AttachLsf(int(fd), drop)
+	})
+}
+
+// Shut closes the listening socket.
+func (n *Net) Shut() {
 	n.gate.shut.Store(true)
 	_ = n.gate.Close()
 }
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -142,7 +142,9 @@
 		method := string(r.text())
 		if method == "interrupt" && r.array() == 1 {
 			n := r.whole()
-			call = func() { s.OnInterrupt(uint32(n)) }
+			if n >= 0 && n <= math.MaxUint32 {
+				call = func() { s.OnInterrupt(uint32(n)) }
+			}
 		} else if method == "interrupt" {
 			r.bad = true
 		} else {
