--- /dev/null
+++ b/cmd/lanewheel/main_test.go
@@ -0,0 +1,429 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestMain(m *testing.M) {
+	build()
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// An op's way: read, started, at a call, called, given the reply, ended, answered.
+func Example_served() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	s.send(op(7, "view", id(1), []byte("a\xff")))
+	fmt.Println(t.rt.hear())
+	t.rt.notice("wants", id(1), "", "ask")
+	call := t.db.next()
+	fmt.Println(call.text)
+	call.reply("200 OK", "", "rows")
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(1), "success", "res\xff")
+	fmt.Println(s.hear())
+	s.send(op(8, "pay", id(2), nil))
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(2), "failure", "")
+	fmt.Println(s.hear())
+	// Output:
+	// start 1 route view body "a\xff"
+	// POST /v1/exec for 1 timed true body "ask"
+	// give 1 body "rows"
+	// ['\x01' '\a' <nil> ["res\xff" map[]]]
+	// start 2 route pay body ""
+	// ['\x01' '\b' ["Failed" map[]] <nil>]
+}
+
+// An op larger than the memory is nacked unstarted; one that takes too long is given up and its run stopped, and
+// the end that comes then is no second answer. Gauges that never come hold up no answer.
+func Example_nackedAndGivenUp() {
+	t := up()
+	defer t.close()
+	t.rt.conn.Close()
+	t.rt.silent = true
+	t.rt.take()
+	t.rt.ready("steady")
+	fence(t)
+	s := t.stub()
+	s.send(op(3, "view", id(3), nil, "kb", "3900"))
+	fmt.Println(s.hear())
+	s.send(op(4, "pay", id(4), nil, "wait", "300"))
+	began := time.Now()
+	fmt.Println(t.rt.hear())
+	fmt.Println(s.hear())
+	fmt.Println("in time:", time.Since(began) < 350*time.Millisecond)
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(4), "interrupted", "")
+	until("health", s.check)
+	// Output:
+	// ['\x01' '\x03' ["Busy" map[]] <nil>]
+	// start 4 route pay body ""
+	// ['\x01' '\x04' ["Failed" map[]] <nil>]
+	// in time: true
+	// stop 4
+}
+
+// fence answers the mark behind the replayed notices of a link whose gauges are otherwise left unanswered.
+func fence(t *town) {
+	for i := range 9 {
+		fmt.Fprintf(t.rt.conn, `{"t":"load","mark":"fence-%d","v":[0.1,0]}`+"\n", i)
+	}
+}
+
+// What each end of a call proves: only a call that never ran is made again for an op that may not run twice.
+func Example_calls() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	for i, how := range []func(c *dbCall){
+		func(c *dbCall) { c.reply("500 Failed", "", "") },
+		func(c *dbCall) { c.reply("504 Late", "", "") },
+		func(c *dbCall) { c.conn.Close(); t.db.next() },
+		func(c *dbCall) { fmt.Fprint(c.conn, "what?\r\n\r\n"); t.db.next() },
+		func(c *dbCall) { c.reply("503 Full", "Never-Started: 1\r\n", "") },
+		func(c *dbCall) { c.reply("409 None", "Never-Started: 1\r\n", "") },
+	} {
+		n := i + 1
+		s.send(op(n, "pay", id(n), nil))
+		t.rt.hear()
+		t.rt.notice("wants", id(n), "", "ask")
+		how(t.db.next())
+		if i < 4 {
+			fmt.Println(s.hear())
+		} else {
+			fmt.Println(t.db.next().text)
+			s.send([]any{2, "interrupt", []any{n}})
+		}
+		t.rt.notice("end", id(n), "interrupted", "")
+		if i >= 4 { // the run's end gives its call up
+			fmt.Println(t.db.next().text)
+		}
+	}
+	// refused: it never ran, and this type can do without
+	t.db.listener.Close()
+	s.send(op(9, "list", id(9), nil))
+	t.rt.hear()
+	t.rt.notice("wants", id(9), "", "ask")
+	fmt.Println(t.rt.hear())
+	// Output:
+	// ['\x01' '\x01' ["Failed" map[]] <nil>]
+	// ['\x01' '\x02' ["Failed" map[]] <nil>]
+	// ['\x01' '\x03' ["Failed" map[]] <nil>]
+	// ['\x01' '\x04' ["Failed" map[]] <nil>]
+	// POST /v1/exec for 5 timed true body "ask"
+	// connection ended
+	// POST /v1/exec for 6 timed true body "ask"
+	// connection ended
+	// omit 9 no 13
+}
+
+// A link lost with one run at a call whose reply is on its way, one whose end is missed, and one op read without
+// a link: on the new one nothing starts twice, and each is answered once.
+func Example_lostLink() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	s.send(op(1, "pay", id(1), nil), op(2, "pay", id(2), []byte("b")))
+	fmt.Println(t.rt.hear())
+	fmt.Println(t.rt.hear())
+	t.rt.notice("wants", id(1), "", "ask")
+	call := t.db.next()
+	t.rt.conn.Close()
+	for s.check() && t.rt.hear() != "link closed" {
+	}
+	call.reply("200 OK", "", "rows")
+	fmt.Println("sync", t.rt.take())
+	s.send(op(3, "pay", id(3), []byte("c")))
+	fmt.Println("deaf link, well:", s.check())
+	t.rt.ready("steady")
+	t.rt.notice("end", id(2), "success", "two")
+	fmt.Println(s.hear())
+	heard := map[string]int{}
+	for range 2 {
+		heard[t.rt.hear()]++
+	}
+	fmt.Println(heard)
+	t.rt.notice("end", id(3), "success", "three")
+	fmt.Println(s.hear())
+	t.rt.notice("end", id(1), "success", "one")
+	fmt.Println(s.hear())
+	t.rt.conn.Close()
+	fmt.Println("sync", t.rt.take())
+	t.rt.ready("steady")
+	fmt.Println(s.check(), len(t.rt.lines))
+	// Output:
+	// start 1 route pay body ""
+	// start 2 route pay body "b"
+	// sync 1
+	// deaf link, well: true
+	// ['\x01' '\x02' <nil> ["two" map[]]]
+	// map[give 1 body "rows":1 start 3 route pay body "c":1]
+	// ['\x01' '\x03' <nil> ["three" map[]]]
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// sync 4
+	// true 0
+}
+
+// A stop that the lost link swallowed is sent again; a start that is not carried out ends its op.
+func Example_unsentStop() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	s.send(op(1, "view", id(1), nil))
+	fmt.Println(t.rt.hear())
+	t.rt.conn.Close()
+	until("the end of the link", func() bool { return t.rt.hear() == "link closed" })
+	s.send([]any{2, "interrupt", []any{1}})
+	fmt.Println(s.check(), "sync", t.rt.take())
+	t.rt.ready("steady")
+	fmt.Println(t.rt.hear())
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(1), "interrupted", "")
+	s.send(op(2, "view", id(2), nil))
+	fmt.Println(t.rt.hear())
+	fmt.Fprintf(t.rt.conn, `{"t":"nack","status":"start","rid":%q}`+"\n", id(2))
+	fmt.Println(s.hear())
+	// Output:
+	// start 1 route view body ""
+	// true sync 0
+	// start 1 route view body ""
+	// stop 1
+	// start 2 route view body ""
+	// ['\x01' '\x02' ["Failed" map[]] <nil>]
+}
+
+// Crossings: an interrupt with the end, one for an id never seen, a connection that closes with ops open.
+func Example_crossings() {
+	t := up()
+	defer t.close()
+	s, other := t.stub(), t.stub()
+	s.send(op(1, "pay", id(1), nil))
+	other.send(op(1, "view", id(2), nil))
+	fmt.Println(t.rt.hear())
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(1), "success", "one")
+	s.send([]any{2, "interrupt", []any{1}}, []any{2, "interrupt", []any{99}})
+	fmt.Println(s.hear())
+	other.close()
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(2), "success", "two")
+	fmt.Println(s.check())
+	// Output:
+	// start 1 route pay body ""
+	// start 2 route view body ""
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// stop 2
+	// true
+}
+
+// A connection that breaks the protocol ends once what is open on it is answered; the others go on.
+func Example_faults() {
+	t := up()
+	defer t.close()
+	other := t.stub()
+	for i, bad := range [][]byte{{0xc1}, pack(nil, op(1, "view", id(50), nil)), pack(nil, op(2, "view", id(1), nil))} {
+		s := t.stub()
+		rid := id(i + 1)
+		s.send(op(1, "view", rid, nil))
+		t.rt.hear()
+		if i == 2 {
+			bad = pack(nil, op(2, "view", rid, nil))
+		}
+		s.conn.Write(bad)
+		until("the fault is read", func() bool { return other.check() })
+		t.rt.notice("end", rid, "success", "x")
+		fmt.Println(s.hear(), s.hear())
+	}
+	s := t.stub()
+	var many [][]any
+	for i := range 33 {
+		many = append(many, op(i, "view", id(100+i), nil, "kb", "0.1"))
+	}
+	s.send(many...)
+	s.close()
+	t.terminate()
+	_, log := t.ended()
+	for _, code := range []string{"bad-message", "id-twice", "op-twice", "too-many-open"} {
+		fmt.Println(code, strings.Count(log, code))
+	}
+	// Output:
+	// ['\x01' '\x01' <nil> ["x" map[]]] closed
+	// ['\x01' '\x01' <nil> ["x" map[]]] closed
+	// ['\x01' '\x01' <nil> ["x" map[]]] closed
+	// bad-message 1
+	// id-twice 1
+	// op-twice 1
+	// too-many-open 1
+}
+
+// Health is not good, and nothing is taken, before the runtime is up. The roster hears of us each second.
+func Example_lateRuntime() {
+	t := open()
+	defer t.close()
+	fmt.Println(t.reported())
+	s := t.stub()
+	fmt.Println(s.check())
+	s.send(op(7, "view", id(1), nil))
+	fmt.Println(s.hear())
+	fmt.Println("sync", t.rt.take())
+	t.rt.ready("booting")
+	until("health", func() bool { return s.check() })
+	began := time.Now()
+	fmt.Println(t.reported(), time.Since(began) < 1200*time.Millisecond)
+	// Output:
+	// HERE n1 on
+	// false
+	// ['\x01' '\a' ["Busy" map[]] <nil>]
+	// sync 0
+	// HERE n1 on true
+}
+
+// Told to go, the instance says so, answers what it has, asks its stubs to go and ends by itself with 0.
+func Example_drain() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	s.send(op(1, "view", id(1), nil))
+	t.rt.hear()
+	t.terminate()
+	until("the roster is told", func() bool { return t.reported() == "HERE n1 off" })
+	t.terminate()
+	t.rt.notice("end", id(1), "success", "one")
+	fmt.Println(s.hear())
+	s.send(op(2, "view", id(2), nil))
+	fmt.Println(t.rt.hear())
+	fmt.Println(s.hear())
+	fmt.Println(s.hear())
+	s.close()
+	code, log := t.ended()
+	fmt.Println(code, log[strings.LastIndex(log, "msg="):])
+	_, err := net.Dial("tcp", t.listen)
+	fmt.Println("refused:", err != nil)
+	// Output:
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// start 2 route view body ""
+	// ['\x02' "goaway" []]
+	// ['\x01' '\x02' ["Busy" map[]] <nil>]
+	// 0 msg=stopped connections=0 ops=1
+	// refused: true
+}
+
+// A stub that connects while the listening socket is being closed is accepted and answered, or refused; SIGTERM
+// before the runtime is up ends at once.
+func Example_earlyStop() {
+	t := open()
+	defer t.close()
+	s := t.stub()
+	s.check()
+	t.terminate()
+	fmt.Println(s.hear(), s.hear())
+	code, _ := t.ended()
+	fmt.Println(code)
+	// Output:
+	// ['\x02' "goaway" []] closed
+	// 0
+}
+
+// An unused connection is asked to go and closed; one more op that crosses the asking is served.
+func Example_unused() {
+	t := up("IDLE", "0.3")
+	defer t.close()
+	s := t.stub()
+	fmt.Println(s.hear())
+	s.send(op(1, "view", id(1), nil))
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(1), "success", "one")
+	fmt.Println(s.hear())
+	fmt.Println(s.hear())
+	// Output:
+	// ['\x02' "goaway" []]
+	// start 1 route view body ""
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// closed
+}
+
+// More connections than the bound wait in the backlog until others end.
+func Example_descriptors() {
+	t := up()
+	defer t.close()
+	var held []*stub
+	for range 60 { // of 64 descriptors 40 are for stubs
+		held = append(held, t.stub())
+	}
+	for _, s := range held[:40] {
+		s.send(op(1, "view", id(1), nil, "kb", "1999999"))
+		s.hear()
+	}
+	late := held[59]
+	late.send(op(1, "view", id(2), nil))
+	fmt.Println(held[0].check())
+	for _, s := range held[:30] {
+		s.close()
+	}
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(2), "success", "late")
+	fmt.Println(late.hear())
+	// Output:
+	// true
+	// start 2 route view body ""
+	// ['\x01' '\x01' <nil> ["late" map[]]]
+}
+
+// Reads of like type and key within the told time get the first one's result, without a run of their own.
+func Example_shared() {
+	t := up("FRESH", "5")
+	defer t.close()
+	s := t.stub()
+	s.send(op(1, "view", id(1), nil, "key", "k"), op(2, "view", id(2), nil, "key", "k"), op(3, "view", id(3), nil, "key", "l"))
+	fmt.Println(t.rt.hear())
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(1), "success", "one")
+	fmt.Println(s.hear())
+	fmt.Println(s.hear())
+	s.send(op(4, "view", id(4), nil, "key", "k"))
+	fmt.Println(s.hear())
+	fmt.Println(s.check(), len(t.rt.lines))
+	// Output:
+	// start 1 route view body ""
+	// start 3 route view body ""
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// ['\x01' '\x02' <nil> ["one" map[]]]
+	// ['\x01' '\x04' <nil> ["one" map[]]]
+	// true 0
+}
+
+// A start that can't be: one line that says why, and a code that is not 0.
+func Example_badStart() {
+	taken := must(net.Listen("tcp", "127.0.0.1:0"))
+	defer taken.Close()
+	good := fmt.Sprintf(`{"name":"n1","listen":%q,"runtime":"127.0.0.1:1","roster":"127.0.0.1:1","db":"127.0.0.1:1",`+
+		`"limits":{"cores":1,"memory_mb":192,"sockets":64},"settings":%s}`, taken.Addr(), strings.NewReplacer("IDLE", "1", "FRESH", "0").Replace(settings))
+	for _, text := range []string{`{"name":`, `{}`, strings.Replace(good, `"cores":1`, `"cores":0`, 1),
+		strings.Replace(good, `"cpus":2`, `"cpus":"two"`, 1), strings.Replace(good, `"settings"`, `"other"`, 1), good} {
+		t := &town{log: &bytes.Buffer{}, exit: make(chan struct{})}
+		t.start(text)
+		code, log := t.ended()
+		log = strings.ReplaceAll(log, taken.Addr().String(), "ADDR")
+		if _, after, found := strings.Cut(log, ".json: "); found {
+			log = after
+		}
+		fmt.Println(code, strings.Count(log, "\n"), log)
+	}
+	// Output:
+	// 1 0 cannot parse JSON: cannot parse object: cannot parse object value: cannot parse empty string; unparsed tail: \"\""
+	// 1 0 name: wants text"
+	// 1 0 limits.cores: wants a number over 0"
+	// 1 0 settings: [domain cpus]: is a string, which is the wrong type"
+	// 1 0 settings: wants an object"
+	// 1 0 msg=cannot-start err="listen tcp ADDR: bind: address already in use"
+}
--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -51,6 +51,7 @@
 		return
 	}
 	c.dying = code
+	c.conn.Blame(code)
 	if len(c.open) == 0 {
 		c.conn.Close(code)
 	}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -63,16 +63,21 @@
 	if err != nil {
 		return told, fmt.Errorf("%s: %w", path, err)
 	}
-	for name, to := range map[string]*string{"name": &told.Name, "listen": &told.Listen, "runtime": &told.Runtime,
-		"db": &told.Database, "roster": &told.Roster} {
-		*to = string(v.GetStringBytes(name))
-		if *to == "" {
-			return told, fmt.Errorf("%s: %s: wants text", path, name)
+	for _, text := range []struct {
+		name string
+		to   *string
+	}{{"name", &told.Name}, {"listen", &told.Listen}, {"runtime", &told.Runtime}, {"db", &told.Database},
+		{"roster", &told.Roster}} {
+		if *text.to = string(v.GetStringBytes(text.name)); *text.to == "" {
+			return told, fmt.Errorf("%s: %s: wants text", path, text.name)
 		}
 	}
-	for name, to := range map[string]*float64{"cores": &told.Cores, "memory_mb": &told.MemoryMB} {
-		if *to = v.GetFloat64("limits", name); *to <= 0 {
-			return told, fmt.Errorf("%s: limits.%s: wants a number over 0", path, name)
+	for _, limit := range []struct {
+		name string
+		to   *float64
+	}{{"cores", &told.Cores}, {"memory_mb", &told.MemoryMB}} {
+		if *limit.to = v.GetFloat64("limits", limit.name); *limit.to <= 0 {
+			return told, fmt.Errorf("%s: limits.%s: wants a number over 0", path, limit.name)
 		}
 	}
 	if told.Sockets = v.GetInt("limits", "sockets"); told.Sockets < 32 {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -60,13 +60,16 @@
 	n.engine.OnOpen(func(c *nbio.Conn) {
 		if l, dialled := c.Session().(*Link); dialled {
 			l.opened(c)
+			l.born.Store(true)
 		} else {
 			n.stubs.Add(1)
-			accept(n.link(c, "stub"))
+			l = n.link(c, "stub")
+			accept(l)
+			l.born.Store(true)
 		}
 	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
-		if l, is := c.Session().(*Link); is {
+		if l, is := c.Session().(*Link); is && l.born.Load() {
 			l.read(b)
 		}
 	})
@@ -109,9 +112,10 @@
 	// opened hears of a connection that we dialled, before anything is read from it.
 	opened func(c *nbio.Conn)
 
-	part      []byte // an unfinished message; the poller's
-	deaf      bool   // reads on, to hear of the close, but takes nothing in; the poller's
-	out       []byte // what the next flush writes; the owner's
+	born      atomic.Bool // what opened it has done so; orders that before the poller's reading
+	part      []byte      // an unfinished message; the poller's
+	deaf      bool        // reads on, to hear of the close, but takes nothing in; the poller's
+	out       []byte      // what the next flush writes; the owner's
 	dirty     bool
 	gone      bool
 	why       string
@@ -273,11 +277,16 @@
 	_, _ = l.nb.Write(b) // a failure closes the connection, which is told by its callback
 }
 
-// Close ends the connection once all that was gathered for it is written.
-func (l *Link) Close(code string) {
+// Blame notes why a connection is going to end, whoever ends it then.
+func (l *Link) Blame(code string) {
 	if l.why == "" {
 		l.why = code
 	}
+}
+
+// Close ends the connection once all that was gathered for it is written.
+func (l *Link) Close(code string) {
+	l.Blame(code)
 	if l.gone || l.nb == nil || l.closing.Load() {
 		return
 	}
