Unread answers bounded over all connections; tests of clock steps, deaf stubs, deep checks

Each connection was bounded alone: 640 that never read held 100 MB together (link.go write; an eighth of the memory now). Runs resent and ops gone go in the order of their ids. Seen with a stub that never reads: its connection ends, the others go on.

--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -22,7 +23,7 @@
 // town is one instance, as its own process, among stand-ins for all that it speaks to.
 type town struct {
 	cmd    *exec.Cmd
-	log    *bytes.Buffer
+	log    *lines
 	exit   chan struct{} // closed when the program has ended
 	listen string
 	rt     *runtimeStand
@@ -30,6 +31,24 @@
 	roster net.PacketConn
 }
 
+// lines gathers what the program logs.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // must ends a test that can't go on.
 func must[T any](x T, err error) T {
 	if err != nil {
@@ -80,7 +99,7 @@
 
 // open starts a town whose runtime is not up yet; changes are pairs of text to replace in the configuration.
 func open(changes ...string) *town {
-	t := &town{log: &bytes.Buffer{}, exit: make(chan struct{}), rt: newRuntime(), db: newDatabase()}
+	t := &town{log: &lines{}, exit: make(chan struct{}), rt: newRuntime(), db: newDatabase()}
 	t.roster = must(net.ListenPacket("udp", "127.0.0.1:0"))
 	free := must(net.Listen("tcp", "127.0.0.1:0"))
 	t.listen = free.Addr().String()
@@ -128,8 +147,8 @@
 	t.db.listener.Close()
 	t.roster.Close()
 	<-t.exit
-	if strings.Contains(t.log.String(), "DATA RACE") || strings.Contains(t.log.String(), "panic:") {
-		panic(t.log.String())
+	if strings.Contains(t.log.text(), "DATA RACE") || strings.Contains(t.log.text(), "panic:") {
+		panic(t.log.text())
 	}
 }
 
@@ -141,7 +160,7 @@
 		panic("the program runs on")
 	}
 	var lines []string
-	for _, line := range strings.Split(strings.TrimSpace(t.log.String()), "\n") {
+	for _, line := range strings.Split(strings.TrimSpace(t.log.text()), "\n") {
 		if _, text, found := strings.Cut(line, "msg="); found {
 			lines = append(lines, "msg="+text)
 		}
--- a/cmd/lanewheel/main_test.go
+++ b/cmd/lanewheel/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"os"
@@ -288,6 +287,25 @@
 	// HERE n1 on true
 }
 
+// A clock that was set back or forth loses no op: one from far ahead is served, one from long ago nacked at once.
+func Example_clockSteps() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	at := func(off time.Duration) string { return fmt.Sprint(time.Now().Add(off).UnixMilli()) }
+	s.send(op(1, "view", id(1), nil, "at", at(time.Hour)), op(2, "view", id(2), nil, "at", at(-time.Hour)),
+		op(3, "view", id(3), nil, "at", "0"))
+	fmt.Println(t.rt.hear())
+	heard := map[string]bool{s.hear(): true, s.hear(): true}
+	fmt.Println(heard)
+	t.rt.notice("end", id(1), "success", "one")
+	fmt.Println(s.hear())
+	// Output:
+	// start 1 route view body ""
+	// map[['\x01' '\x02' ["Busy" map[]] <nil>]:true ['\x01' '\x03' ["Busy" map[]] <nil>]:true]
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+}
+
 // Told to go, the instance says so, answers what it has, asks its stubs to go and ends by itself with 0.
 func Example_drain() {
 	t := up()
@@ -379,6 +397,37 @@
 	// ['\x01' '\x01' <nil> ["late" map[]]]
 }
 
+// A stub that never reads loses its connection before its answers hold much memory; the others go on.
+func Example_neverReads() {
+	t := up()
+	defer t.close()
+	deaf, other := t.stub(), t.stub()
+	_ = deaf.conn.(*net.TCPConn).SetReadBuffer(4096)
+	result := strings.Repeat("x", 4096)
+	ended := func() bool { return strings.Contains(t.log.text(), "never-reads") }
+	for i := 0; !ended(); i++ {
+		if i == 400 { // 400 rounds of 30 results are 48 MiB, far more than the kernel takes
+			panic("unread answers pile up")
+		}
+		var b []byte
+		for n := range 30 {
+			b = pack(b, op(n, "view", id(30*i+n), nil, "kb", "1"))
+		}
+		_, _ = deaf.conn.Write(b) // fails once the connection is lost
+		for n := 0; n < 30 && !ended(); {
+			select {
+			case line := <-t.rt.lines:
+				t.rt.notice("end", line["rid"].(string), "success", result)
+				n++
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	fmt.Println(other.check())
+	// Output:
+	// true
+}
+
 // Reads of like type and key within the told time get the first one's result, without a run of their own.
 func Example_shared() {
 	t := up("FRESH", "5")
@@ -410,7 +459,7 @@
 		`"limits":{"cores":1,"memory_mb":192,"sockets":64},"settings":%s}`, taken.Addr(), strings.NewReplacer("IDLE", "1", "FRESH", "0").Replace(settings))
 	for _, text := range []string{`{"name":`, `{}`, strings.Replace(good, `"cores":1`, `"cores":0`, 1),
 		strings.Replace(good, `"cpus":2`, `"cpus":"two"`, 1), strings.Replace(good, `"settings"`, `"other"`, 1), good} {
-		t := &town{log: &bytes.Buffer{}, exit: make(chan struct{})}
+		t := &town{log: &lines{}, exit: make(chan struct{})}
 		t.start(text)
 		code, log := t.ended()
 		log = strings.ReplaceAll(log, taken.Addr().String(), "ADDR")
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -59,8 +59,10 @@
 	// A quarter of the memory is for bodies in hand; the module's own bound is far below it where ops are large.
 	in.most = int(told.MemoryMB*(1<<20)) / 4 / wire.BufferSize
 	var err error
-	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed.
-	in.net, err = wire.NewNet(in.pool, in.Hand, in.HandRead, told.Listen, told.Sockets*5/8, in.accept)
+	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed. An eighth
+	// of the memory is for answers that nobody reads.
+	in.net, err = wire.NewNet(in.pool, in.Hand, in.HandRead, told.Listen, told.Sockets*5/8,
+		int(told.MemoryMB*(1<<20))/8, in.accept)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/keep/keep_test.go
@@ -0,0 +1,128 @@
+package keep
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"lanewheel/choice"
+	"lanewheel/internal/wire"
+)
+
+// Timers fire by their time, those of one time in the order asked for, and dropped ones not at all; after is
+// called once for all that a batch holds.
+func Example_loop() {
+	l := NewLoop()
+	say := func(text string) func() { return func() { fmt.Print(text, " ") } }
+	l.Hand(say("handed"), func() {
+		l.At(l.now-2, say("second"))
+		l.At(l.now-2, say("third"))
+		l.At(l.now-1, say("dropped")).Drop()
+		l.At(l.now-3, say("first"))
+		l.At(l.now, func() { l.over = true })
+	})
+	l.Run(func() { fmt.Println("after") })
+	// Output:
+	// handed first second third after
+}
+
+// The poller waits while the owner has too much to do, and goes on as soon as that was taken.
+func Example_heldBack() {
+	l := NewLoop()
+	passed := make(chan bool, 1)
+	for range 5000 {
+		l.Hand(func() {})
+	}
+	go func() {
+		l.HandRead(func() { l.over = true })
+		passed <- true
+	}()
+	select {
+	case <-passed:
+		fmt.Println("went on")
+	case <-time.After(20 * time.Millisecond):
+		fmt.Println("waits")
+	}
+	l.Run(func() {})
+	fmt.Println(<-passed, len(l.handed))
+	// Output:
+	// waits
+	// true 0
+}
+
+// Buffers of another size are not taken back.
+func Example_pool() {
+	p := &Pool{}
+	p.Give(make([]byte, 10))
+	b := p.Take()
+	fmt.Println(len(b), cap(b) == wire.BufferSize)
+	p.Give(append(b, "old"...))
+	fmt.Println(len(p.Take()))
+	// Output:
+	// 0 true
+	// 0
+}
+
+// A deep check is answered by the runtime's work unless the module says otherwise, and bad when that never ends.
+func Example_deepCheck() {
+	runtime, _ := net.Listen("tcp", "127.0.0.1:0")
+	free, _ := net.Listen("tcp", "127.0.0.1:0")
+	free.Close()
+	in, err := Open(Told{Name: "n1", Listen: free.Addr().String(), Runtime: runtime.Addr().String(),
+		Database: "127.0.0.1:9", Roster: "127.0.0.1:9", Sockets: 64, MemoryMB: 64, Cores: 1,
+		Facts: choice.Facts{"cores": 2.0, "op types": []choice.Facts{{"name": "view", "target latency": time.Second}}}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	go in.Serve()
+	link, _ := runtime.Accept()
+	fmt.Fprintln(link, `{"t":"ready","status":"steady"}`)
+	asked := make(chan string, 9)
+	go func() { // the runtime: answers the gauges and tells of the tests
+		for lines := bufio.NewScanner(link); lines.Scan(); {
+			_, mark, _ := strings.Cut(lines.Text(), `"mark":`)
+			switch {
+			case strings.Contains(lines.Text(), "gauges"):
+				fmt.Fprintf(link, `{"t":"load","mark":%s,"v":[]}`+"\n", mark[:len(mark)-1])
+			case strings.Contains(lines.Text(), "selftest"):
+				asked <- mark[:len(mark)-1]
+			}
+		}
+	}()
+	conn, _ := net.Dial("tcp", free.Addr().String())
+	answer := func() string {
+		b := make([]byte, 11)
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		n, _ := conn.Read(b)
+		return fmt.Sprintf("%x", b[:n])
+	}
+	check := func(n byte) {
+		conn.Write(append([]byte{0x94, 0, n}, "\xa5check\x91\x81\xa4deep\xa11"...))
+	}
+	good := "94 01 ce 00 00 00 01 c0 92 c3 80"
+	for check(1); answer() != strings.ReplaceAll(good, " ", ""); check(1) {
+	}
+	turned := make(chan bool)
+	in.Hand(func() {
+		in.Health(true, false)
+		close(turned)
+	})
+	<-turned
+	for i, verdict := range []string{"success", "failure", ""} {
+		check(byte(i + 2))
+		mark := <-asked
+		began := time.Now()
+		if verdict != "" {
+			fmt.Fprintf(link, `{"t":"verdict","mark":%s,"status":%q}`+"\n", mark, verdict)
+		}
+		fmt.Println(answer(), "in time:", time.Since(began) < 1500*time.Millisecond)
+	}
+	in.Hand(func() { in.over = true })
+	// Output:
+	// 9401ce00000002c092c380 in time: true
+	// 9401ce00000003c092c280 in time: true
+	// 9401ce00000004c092c280 in time: true
+}
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -2,6 +2,8 @@
 
 import (
 	"log"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -137,7 +139,8 @@
 }
 
 func (in *Instance) resend() {
-	for id, o := range in.ops {
+	for _, id := range slices.Sorted(maps.Keys(in.ops)) {
+		o := in.ops[id]
 		r := o.run
 		if r == nil {
 			continue
--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -1,6 +1,8 @@
 package keep
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lanewheel/internal/wire"
@@ -32,8 +34,8 @@
 	s.OnFault = c.fault
 	s.OnEnd = func(string) {
 		delete(in.stubs, s)
-		for _, o := range c.open {
-			in.gone(o)
+		for _, n := range slices.Sorted(maps.Keys(c.open)) {
+			in.gone(c.open[n])
 		}
 	}
 	in.Hand(func() {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -36,16 +36,18 @@
 	dirty  []*Link
 	dials  map[string]chan func() // those that wait, by party; the owner's
 	stubs  atomic.Int64           // connections that were accepted and are not closed
+	unread atomic.Int64           // bytes of all connections that their peers have not taken yet
+	most   int64                  // past this, who leaves more than a few unread loses its connection
 }
 
 // mostUnwritten is what one peer may leave unread: the answers to 32 ops with the longest results.
 const mostUnwritten = 160 << 10
 
-// NewNet starts the poller and takes in as many connections as most. accept is called, beside the owner loop,
-// with each one.
-func NewNet(buffers Buffers, hand, read func(...func()), listen string, most int, accept func(*Link)) (*Net, error) {
+// NewNet starts the poller and takes in as many connections as most; so many bytes may stand unread in all.
+// accept is called, beside the owner loop, with each connection.
+func NewNet(buffers Buffers, hand, read func(...func()), listen string, most, unread int, accept func(*Link)) (*Net, error) {
 	logging.SetLevel(logging.LevelError)
-	n := &Net{Buffers: buffers, hand: hand, read: read, dials: map[string]chan func(){}}
+	n := &Net{Buffers: buffers, hand: hand, read: read, dials: map[string]chan func(){}, most: int64(unread)}
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listen}, NPoller: 1,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := net.Listen(network, addr)
@@ -74,8 +76,11 @@
 		}
 	})
 	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
-		if l, is := c.Session().(*Link); is && l.unwritten.Add(-int64(size)) == 0 && l.closing.Load() {
-			n.hand(l.shut)
+		if l, is := c.Session().(*Link); is {
+			n.unread.Add(-int64(size))
+			if l.unwritten.Add(-int64(size)) == 0 && l.closing.Load() {
+				n.hand(l.shut)
+			}
 		}
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
@@ -273,6 +278,14 @@
 	if l.gone || l.nb == nil || len(b) == 0 {
 		return
 	}
+	const few = 16 << 10 // some answers with the longest results
+	// Danger: peers that read nothing, each within its bound, hold all the memory together.
+	if l.net.unread.Add(int64(len(b))) > l.net.most && l.unwritten.Load() > few {
+		l.net.unread.Add(-int64(len(b)))
+		l.Blame("never-reads")
+		l.shut()
+		return
+	}
 	l.unwritten.Add(int64(len(b)))
 	_, _ = l.nb.Write(b) // a failure closes the connection, which is told by its callback
 }
@@ -309,6 +322,7 @@
 		return
 	}
 	l.gone = true
+	l.net.unread.Add(-l.unwritten.Load())
 	code := l.why
 	var no syscall.Errno
 	switch {
