--- a/cmd/lanewheel/main_test.go
+++ b/cmd/lanewheel/main_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -63,13 +64,15 @@
 	fmt.Println("in time:", time.Since(began) < 350*time.Millisecond)
 	fmt.Println(t.rt.hear())
 	t.rt.notice("end", id(4), "interrupted", "")
-	until("health", s.check)
+	s.send([]any{0, 9, "check", []any{map[string]string{}}})
+	fmt.Println(s.hear()[:20]) // the check's answer, no second one of the op; unwell, as a run hung
 	// Output:
 	// ['\x01' '\x03' ["Busy" map[]] <nil>]
 	// start 4 route pay body ""
 	// ['\x01' '\x04' ["Failed" map[]] <nil>]
 	// in time: true
 	// stop 4
+	// ['\x01' '\t' <nil> [
 }
 
 // fence answers the mark behind the replayed notices of a link whose gauges are otherwise left unanswered.
@@ -428,6 +431,45 @@
 	// true
 }
 
+// Hundreds of connections, each with an op, stay far within the memory.
+func Example_manyConnections() {
+	t := up(`"sockets":64`, `"sockets":1024`)
+	defer t.close()
+	answered := 0
+	for i := range 500 {
+		s := t.stub()
+		defer s.close()
+		s.send(op(1, "view", id(i), nil, "kb", "3900"))
+		if strings.Contains(s.hear(), "Busy") {
+			answered++
+		}
+	}
+	fmt.Println(answered, t.stub().check())
+	status := string(must(os.ReadFile(fmt.Sprintf("/proc/%d/status", t.cmd.Process.Pid))))
+	_, peak, _ := strings.Cut(status, "VmHWM:")
+	kb := must(strconv.Atoi(strings.Fields(peak)[0]))
+	fmt.Println("under 96 MB:", kb < 96<<10)
+	// Output:
+	// 500 true
+	// under 96 MB: true
+}
+
+// The roster hears "off" from an instance that is unwell where the list follows health, and "on" when it is back.
+func Example_readiness() {
+	t := up(`"deep-checks":true`, `"deep-checks":true,"readiness":true`)
+	defer t.close()
+	s := t.stub()
+	s.send(op(1, "pay", id(1), nil, "cost", "1")) // a run that hangs
+	fmt.Println(t.rt.hear())
+	until("off", func() bool { return t.reported() == "HERE n1 off" })
+	t.rt.notice("end", id(1), "success", "late")
+	fmt.Println(s.hear())
+	until("on", func() bool { return t.reported() == "HERE n1 on" })
+	// Output:
+	// start 1 route pay body ""
+	// ['\x01' '\x01' <nil> ["late" map[]]]
+}
+
 // Reads of like type and key within the told time get the first one's result, without a run of their own.
 func Example_shared() {
 	t := up("FRESH", "5")
