Tests listen on addresses of their own, and no wait of theirs is without an end

One run of all tests stood still after the first package. The likely cause: a free port that was given back is taken as the near port of a connection, 500 of which one test opens now; the program then can't listen, and the stand-in waited for its link without a limit (helper_test.go take).

--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -68,7 +68,10 @@
 	}
 }
 
-var binary_, folder string
+var (
+	binary_, folder string
+	towns           int
+)
 
 // build makes the program once for all tests.
 func build() {
@@ -101,7 +104,10 @@
 func open(changes ...string) *town {
 	t := &town{log: &lines{}, exit: make(chan struct{}), rt: newRuntime(), db: newDatabase()}
 	t.roster = must(net.ListenPacket("udp", "127.0.0.1:0"))
-	free := must(net.Listen("tcp", "127.0.0.1:0"))
+	// Danger: a free port that is given back is taken by a connection of another test. Each town listens on a
+	// loopback address of its own, where nobody else binds.
+	towns++
+	free := must(net.Listen("tcp", fmt.Sprintf("127.71.%d.%d:0", os.Getpid()%250, towns)))
 	t.listen = free.Addr().String()
 	free.Close()
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"runtime":%q,"roster":%q,"db":%q,"seed":"8c1f30d27a5be964","stop_ms":1500,
@@ -318,6 +324,7 @@
 
 // take accepts the next link and gives the number that it is synced with.
 func (r *runtimeStand) take() any {
+	_ = r.listener.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
 	conn := must(r.listener.Accept())
 	lines := make(chan map[string]any, 100)
 	r.conn, r.lines = conn, lines
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -68,7 +68,7 @@
 // A deep check is answered by the runtime's work unless the module says otherwise, and bad when that never ends.
 func Example_deepCheck() {
 	runtime, _ := net.Listen("tcp", "127.0.0.1:0")
-	free, _ := net.Listen("tcp", "127.0.0.1:0")
+	free, _ := net.Listen("tcp", "127.72.0.1:0") // where no connection of another test takes the port
 	free.Close()
 	in, err := Open(Told{Name: "n1", Listen: free.Addr().String(), Runtime: runtime.Addr().String(),
 		Database: "127.0.0.1:9", Roster: "127.0.0.1:9", Sockets: 64, MemoryMB: 64, Cores: 1,
