SIGHUP moves runtime, database and roster; reports to the roster four times a second

At fault: life.go asked for SIGTERM alone, so the signal's default ended the program; nothing could move an address.

Change: SIGHUP is asked for before the configuration is read for the first time. The file is read anew; one that can't be read leaves the old one in force, says so once and is tried again after 50 ms, doubling. The new link to the runtime is dialled while the old one serves on, and replaces it when it stands, synced with the last notice read; what an older attempt comes to, or an old link still brings, is dropped. Roster: one report in four is lost and 3 s without one takes an instance off the list; at one a second three in a row are lost once in 64 seconds, at four a second twelve would have to be.

Checked: Example_moved fails without the change (waits for the half-read file in vain); half a file, a move during a move, two signals at once, a move while leaving.

--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -26,6 +26,8 @@
 	log    *lines
 	exit   chan struct{} // closed when the program has ended
 	listen string
+	path   string // of its configuration
+	text   string
 	rt     *runtimeStand
 	db     *databaseStand
 	roster net.PacketConn
@@ -120,12 +122,10 @@
 
 // start runs the program with a configuration.
 func (t *town) start(text string) {
-	path := filepath.Join(folder, fmt.Sprintf("%d.json", time.Now().UnixNano()))
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		panic(err)
-	}
+	t.path = filepath.Join(folder, fmt.Sprintf("%d.json", time.Now().UnixNano()))
+	t.write(text)
 	t.cmd = exec.Command(binary_)
-	t.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	t.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+t.path)
 	t.cmd.Stdout, t.cmd.Stderr = t.log, t.log
 	if err := t.cmd.Start(); err != nil {
 		panic(err)
@@ -136,6 +136,28 @@
 	}()
 }
 
+// write replaces the configuration.
+func (t *town) write(text string) {
+	t.text = text
+	if err := os.WriteFile(t.path, []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+}
+
+// moved gives the configuration with new stand-ins for the runtime, the database and the roster.
+func (t *town) moved() string {
+	rt, db, roster := newRuntime(), newDatabase(), must(net.ListenPacket("udp", "127.0.0.1:0"))
+	text := strings.NewReplacer(t.rt.addr(), rt.addr(), t.db.addr(), db.addr(),
+		t.roster.LocalAddr().String(), roster.LocalAddr().String()).Replace(t.text)
+	t.rt.listener.Close()
+	t.db.listener.Close()
+	t.roster.Close()
+	rt.no, t.rt, t.db, t.roster = t.rt.no, rt, db, roster
+	return text
+}
+
+func (t *town) hangUp() { _ = t.cmd.Process.Signal(syscall.SIGHUP) }
+
 // town gives one whose runtime is up.
 func up(changes ...string) *town {
 	t := open(changes...)
--- a/cmd/lanewheel/main_test.go
+++ b/cmd/lanewheel/main_test.go
@@ -309,6 +309,64 @@
 	// ['\x01' '\x01' <nil> ["one" map[]]]
 }
 
+// SIGHUP moves runtime, database and roster. While the file is half written the old ones stay; when it is whole, ops,
+// runs and notice numbers carry on at the new ones without another signal. A second move comes before the first is done.
+func Example_moved() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	old := t.rt
+	s.send(op(1, "view", id(1), nil))
+	fmt.Println(old.hear())
+	text := t.moved()
+	t.write(text[:len(text)/2])
+	t.hangUp()
+	until("the half file", func() bool { return strings.Contains(t.log.text(), "msg=configuration-kept") })
+	s.send(op(2, "pay", id(2), nil))
+	fmt.Println(old.hear())
+	old.notice("end", id(2), "success", "two")
+	fmt.Println(s.hear())
+	t.write(text)
+	fmt.Println("sync", t.rt.take()) // no ready yet, and it moves again
+	fmt.Println(old.hear())
+	first := t.rt
+	t.write(t.moved())
+	t.hangUp()
+	t.hangUp()
+	fmt.Println("sync", t.rt.take())
+	fmt.Println(first.hear())
+	t.rt.ready("steady")
+	fmt.Println(t.rt.hear()) // it may have been swallowed; nothing happens if it was not
+	t.rt.no = 1
+	t.rt.notice("wants", id(1), "", "ask")
+	t.db.next().reply("200 OK", "", "rows")
+	fmt.Println(t.rt.hear())
+	t.rt.notice("end", id(1), "success", "one")
+	fmt.Println(s.hear())
+	fmt.Println(t.reported())
+	t.terminate()
+	t.write(t.moved())
+	t.hangUp()
+	fmt.Println("sync", t.rt.take())
+	s.close()
+	code, log := t.ended()
+	fmt.Println(code, strings.Count(log, "msg=configuration-kept"), strings.Count(log, `code="moved"`))
+	// Output:
+	// start 1 route view body ""
+	// start 2 route pay body ""
+	// ['\x01' '\x02' <nil> ["two" map[]]]
+	// sync 1
+	// link closed
+	// sync 1
+	// link closed
+	// start 1 route view body ""
+	// give 1 body "rows"
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// HERE n1 on
+	// sync 3
+	// 0 1 3
+}
+
 // Told to go, the instance says so, answers what it has, asks its stubs to go and ends by itself with 0.
 func Example_drain() {
 	t := up()
--- a/internal/keep/health.go
+++ b/internal/keep/health.go
@@ -46,18 +46,21 @@
 	l.conn.Selftest(mark)
 }
 
-// report tells the roster each second that we are here, whatever else there is to do.
+// reports tells the roster again and again that we are here, whatever else there is to do. Danger: the list forgets
+// who is not heard for some seconds, and a datagram may be lost; so often, many in a row would have to be.
+func (in *Instance) reports() {
+	in.report()
+	in.At(in.now+250*time.Millisecond, in.reports)
+}
+
 func (in *Instance) report() {
 	if in.health.roster == nil {
 		r, err := wire.NewRoster(in.told.Roster, in.told.Name)
 		if err != nil {
 			log.Printf("msg=no-roster err=%q", err)
-		} else {
-			in.health.roster = r
+			return
 		}
+		in.health.roster = r
 	}
-	if in.health.roster != nil {
-		in.health.roster.Report(!in.leaving && (in.health.good || !in.told.Readiness))
-	}
-	in.At(in.now+time.Second, in.report)
+	in.health.roster.Report(!in.leaving && (in.health.good || !in.told.Readiness))
 }
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -70,7 +70,7 @@
 	in.Hand(func() {
 		in.connect()
 		in.sweepConnections()
-		in.report()
+		in.reports()
 	})
 	return in, nil
 }
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -5,6 +5,22 @@
 	"time"
 )
 
+// Move takes the addresses of a configuration that was read anew. What is under way at the old ones may end there.
+func (in *Instance) Move(told Told) {
+	before := in.told
+	in.told.Runtime, in.told.Database, in.told.Roster = told.Runtime, told.Database, told.Roster
+	log.Printf("msg=moved runtime=%s db=%s roster=%s", told.Runtime, told.Database, told.Roster)
+	if told.Runtime != before.Runtime {
+		in.runtime.backoff = 0
+		in.connect()
+	}
+	if told.Roster != before.Roster && in.health.roster != nil {
+		in.health.roster.Close()
+		in.health.roster = nil
+		in.report()
+	}
+}
+
 // Leave is the notice to drain: the instance is killed Stop from now. It serves on as the module decides.
 func (in *Instance) Leave() {
 	if in.leaving {
@@ -13,9 +29,7 @@
 	in.leaving = true
 	killAt := in.now + in.told.Stop
 	log.Printf("msg=leaving kill_ms=%d held=%d", in.told.Stop.Milliseconds(), len(in.ops))
-	if in.health.roster != nil {
-		in.health.roster.Report(false)
-	}
+	in.report()
 	if in.desk == nil { // nothing was ever taken in
 		in.part(in.now)
 		return
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -26,10 +26,11 @@
 
 // link is what is known of the link to the runtime.
 type link struct {
-	conn    *wire.Runtime
-	synced  bool   // all notices of the time without a link have been read
-	last    uint64 // the number of the last notice read
-	fence   string // the mark behind the replayed notices
+	conn    *wire.Runtime // in use; nil while there is none
+	attempt uint64        // the last one to open a link
+	synced  bool          // all notices of the time without a link have been read
+	last    uint64        // the number of the last notice read
+	fence   string        // the mark behind the replayed notices
 	marks   uint64
 	backoff time.Duration
 	asked   string // the mark of the gauges that are awaited
@@ -42,28 +43,49 @@
 	return kind + "-" + strconv.FormatUint(in.runtime.marks, 10)
 }
 
-// connect opens the link, and again a while after it was refused or lost.
+// connect opens a link to where the runtime is now, and again a while after that was refused or lost. One that is
+// in use stays so until the new one stands: the old address serves on for a moment after the runtime has moved.
 func (in *Instance) connect() {
 	l := &in.runtime
-	var conn *wire.Runtime
+	l.attempt++
+	attempt := l.attempt
 	again := func() {
-		if l.conn != conn {
-			return
+		if l.attempt == attempt { // Danger: what a dial to an old address comes to would count for the new one
+			l.backoff = min(max(2*l.backoff, 10*time.Millisecond), 500*time.Millisecond)
+			in.At(in.now+l.backoff, func() {
+				if l.attempt == attempt {
+					in.connect()
+				}
+			})
 		}
-		l.conn, l.synced = nil, false
-		l.backoff = min(max(2*l.backoff, 10*time.Millisecond), 500*time.Millisecond)
-		in.At(in.now+l.backoff, in.connect)
 	}
+	var conn *wire.Runtime
 	conn = in.net.DialRuntime(in.told.Runtime, func(refused error) {
 		if refused != nil {
 			again()
 			return
 		}
+		if l.attempt != attempt {
+			conn.Close("moved")
+			return
+		}
+		if l.conn != nil {
+			l.conn.Close("moved")
+		}
+		l.conn, l.synced = conn, false
 		conn.Sync(l.last)
 	})
-	conn.OnNotice = in.notice
-	conn.OnEnd = func(string) { again() }
-	l.conn = conn
+	conn.OnNotice = func(n wire.Notice) {
+		if l.conn == conn { // what an old link still brings comes again on the new one
+			in.notice(n)
+		}
+	}
+	conn.OnEnd = func(string) {
+		if l.conn == conn {
+			l.conn, l.synced = nil, false
+		}
+		again()
+	}
 }
 
 // notice takes one line of the runtime.
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -24,7 +24,10 @@
 // Live starts the instance that the environment tells of and serves until it is told to go.
 func Live() error {
 	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
-	told, err := tell(os.Getenv("RELAY_CONFIG"))
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP) // before all else: untold, either would end us
+	path := os.Getenv("RELAY_CONFIG")
+	told, err := tell(path)
 	if err != nil {
 		return err
 	}
@@ -33,22 +36,47 @@
 	runtime.GOMAXPROCS(int(math.Ceil(told.Cores)) + 1)
 	// Half the limit: the rest is for what the kernel and the binary itself take.
 	debug.SetMemoryLimit(int64(told.MemoryMB * (1 << 19)))
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM)
 	in, err := keep.Open(told)
 	if err != nil {
 		return err
 	}
-	go func() {
-		for range signals {
-			in.Hand(in.Leave)
-		}
-	}()
+	go heed(in, signals, path)
 	log.Printf("msg=listening name=%s addr=%s", told.Name, told.Listen)
 	in.Serve()
 	return nil
 }
 
+// heed carries out what signals ask for: SIGTERM to leave, SIGHUP to go by the configuration as it is now.
+// Danger: a configuration that can't be read, or is still being written, must not end or change a running instance.
+// The old one stays in force and the file is read again, soon and then less and less often.
+func heed(in *keep.Instance, signals <-chan os.Signal, path string) {
+	const soon, seldom = 50 * time.Millisecond, 5 * time.Second // a file takes far less to write; a person far more
+	var again <-chan time.Time
+	var wait time.Duration
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGTERM {
+				in.Hand(in.Leave)
+				continue
+			}
+			wait = 0
+		case <-again:
+		}
+		again = nil
+		told, err := tell(path)
+		if err == nil {
+			in.Hand(func() { in.Move(told) })
+			continue
+		}
+		if wait == 0 {
+			log.Printf("msg=configuration-kept err=%q", err)
+		}
+		wait = min(max(2*wait, soon), seldom)
+		again = time.After(wait)
+	}
+}
+
 // tell reads the configuration.
 func tell(path string) (keep.Told, error) {
 	var told keep.Told
