Bad clients end at once, silent ones in time; refused starts are no runs of the module's

Lines at fault: `refused` (runs.go) told a start that the runtime does not know as a failed run, so that a few such ids made half of the last endings failures and the module shed all; `fault` (stubs.go) waited for the open ops of a connection that had broken the protocol; nothing ended a connection that says nothing or half an op, and a table full of them kept stubs in the backlog; unknown types were held to the terms of the first, and figures went in as they came.

Change: a fault fails what is open and closes at once; a refused start is Moot and ends the connection that brought it; asks that could never be served are answered in keep, unheard by the module, and eight in a row end the connection; an id in hand from another connection is nacked and does that connection no harm; silent or half-said connections end after 1.5 s; a full table lets the longest unused go, silent ones first. Of one kind of end four lines a second are written, the rest counted in one.

Ruled out: a 60 MB body needs no reading: its length is refused as it comes and the close is heard.

--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -5,6 +5,7 @@
 
 import (
 	"log"
+	"math"
 	"time"
 
 	"lanewheel/choice"
@@ -34,6 +35,11 @@
 	desk    *choice.Desk // nil until the runtime has come up
 	touched bool         // the module has heard something in this batch
 
+	kinds   map[choice.OpType]time.Duration // the op timeouts of those that were told
+	tenants map[choice.TenantID]bool        // those that were told
+
+	swept time.Duration // when the connections were last looked through
+
 	ops   map[choice.OpID]*op
 	stubs map[*wire.Stub]*caller
 	idle  time.Duration // how long an unused connection may stay, as last said
@@ -56,14 +62,22 @@
 	in := &Instance{Loop: NewLoop(), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
 		stubs: map[*wire.Stub]*caller{}, idle: span(told.Facts, "connections idle")}
 	in.health.good = true
+	in.kinds, in.tenants = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}
+	for _, kind := range list(told.Facts, "op types") {
+		name, _ := kind["name"].(string)
+		in.kinds[choice.OpType(name)] = max(span(kind, "op timeout"), span(kind, "target latency"))
+	}
+	for _, tenant := range list(told.Facts, "tenants") {
+		name, _ := tenant["name"].(string)
+		in.tenants[choice.TenantID(name)] = true
+	}
 	// A quarter of the memory is for bodies in hand; the module's own bound is far below it where ops are large.
 	in.most = int(told.MemoryMB*(1<<20)) / 4 / wire.BufferSize
-	var err error
 	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed. An eighth
 	// of the memory is for answers that nobody reads.
-	in.net, err = wire.NewNet(in.pool, in.Hand, in.HandRead, told.Listen, told.Sockets*5/8,
-		int(told.MemoryMB*(1<<20))/8, in.accept)
-	if err != nil {
+	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: in.accept, Crowded: in.makeRoom,
+		Most: int64(told.Sockets) * 5 / 8, Unread: int64(told.MemoryMB*(1<<20)) / 8}
+	if err := in.net.Start(told.Listen); err != nil {
 		return nil, err
 	}
 	in.database.init(in)
@@ -81,6 +95,12 @@
 	return x
 }
 
+// list is a told list, empty if none was told.
+func list(told choice.Facts, name string) []choice.Facts {
+	x, _ := told[name].([]choice.Facts)
+	return x
+}
+
 // Serve runs the owner loop until the instance has stopped.
 func (in *Instance) Serve() {
 	in.Loop.Run(func() {
@@ -108,24 +128,35 @@
 // read takes an op off a connection.
 func (in *Instance) read(c *caller, n uint32, ask wire.Ask) {
 	id := choice.OpID(ask.ID)
-	switch {
+	switch before := in.ops[id]; {
+	case c.dying != "":
+		return
 	case c.open[n] != nil:
 		c.fault("id-twice")
 		return
 	case len(c.open) >= 32:
 		c.fault("too-many-open")
 		return
-	case in.ops[id] != nil:
+	case before != nil && before.stub == c:
 		c.fault("op-twice")
 		return
-	}
 	// Danger: more bodies than there is memory for. Nothing is taken either before the runtime has come up, nor
-	// from a connection that is to end.
-	if in.desk == nil || len(in.ops) >= in.most || c.dying != "" {
+	// under the id of an op in hand that another connection brought: whose it is can't be told, and it never ran.
+	case in.desk == nil, len(in.ops) >= in.most, before != nil:
+		c.used = in.now
 		c.conn.Refuse(n, in.with())
 		return
 	}
-	lay := max(0, time.Duration(in.wall.UnixMicro()-ask.At*1000)*time.Microsecond)
+	lay := max(0, in.wall.Sub(time.UnixMilli(ask.At)))
+	if code := in.unservable(ask); code != "" {
+		c.turnedAway(n, code)
+		return
+	}
+	if lay > mostTimeouts*in.kinds[choice.OpType(ask.Type)] { // long over, by a clock that is not ours
+		c.conn.Refuse(n, in.with())
+		return
+	}
+	c.strikes = 0
 	o := &op{id: id, kind: choice.OpType(ask.Type), subject: ask.Subject, stub: c, n: n,
 		body: append(in.pool.Take(), ask.Body...)}
 	in.ops[id], c.open[n], c.used = o, o, in.now
@@ -136,6 +167,26 @@
 		Tenant: choice.TenantID(ask.Tenant), RepeatsOf: in.keys.repeated(in, o)})
 }
 
+// mostTimeouts is how many op timeouts no stub would wait, nor any op lie or work: one is many times an op's work.
+const mostTimeouts = 10
+
+// unservable tells what makes an ask one that could never be served, whatever else is here. Danger: the module would
+// learn from figures that nobody meant, or reckon with such as overflow.
+func (in *Instance) unservable(ask wire.Ask) string {
+	kind, known := in.kinds[choice.OpType(ask.Type)]
+	switch {
+	case !known:
+		return "unknown-type"
+	case len(in.tenants) > 0 && !in.tenants[choice.TenantID(ask.Tenant)]:
+		return "unknown-tenant"
+	case ask.KB <= 0 || ask.KB >= 2000 || ask.Rank < 0 || ask.Rank >= 1 || ask.From < 0 || ask.From > math.MaxInt32:
+		return "out-of-range"
+	case ask.Wait > mostTimeouts*kind || ask.Cost > mostTimeouts*kind:
+		return "out-of-range"
+	}
+	return ""
+}
+
 // gone hears that the caller of an op has given it up.
 func (in *Instance) gone(o *op) {
 	in.unowe(o)
@@ -152,9 +203,6 @@
 		o.stub = nil
 		delete(c.open, o.n)
 		c.used = in.now
-		if c.dying != "" && len(c.open) == 0 {
-			defer c.conn.Close(c.dying)
-		}
 	}
 	return c
 }
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -58,7 +58,7 @@
 func (in *Instance) partWhenEmpty(last time.Duration) {
 	if len(in.stubs) == 0 || in.now >= last {
 		for _, c := range in.stubs {
-			c.conn.Close("stopped")
+			c.close("stopped")
 		}
 		log.Printf("msg=stopped connections=%d ops=%d", len(in.stubs), len(in.ops))
 		in.over = true
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -248,10 +248,17 @@
 	in.release(o)
 }
 
-// refused hears that a command was not carried out. A start that was not ends its op.
+// refused hears that a command was not carried out. A start that was not ends its op, and the connection that brought
+// an id, type or body which is that of no op. Danger: the module would take it for a run that failed.
 func (in *Instance) refused(n wire.Notice) {
-	log.Printf("msg=command-refused command=%s op=%s", n.Status, n.ID)
-	if o := in.ops[choice.OpID(n.ID)]; o != nil && o.run != nil && n.Status == "start" {
-		in.end(wire.Notice{Kind: "end", ID: n.ID, Status: "failure"})
+	o := in.ops[choice.OpID(n.ID)]
+	if o == nil || o.run == nil || o.run.heard || n.Status != "start" {
+		log.Printf("msg=command-refused command=%s op=%s", n.Status, n.ID)
+		return
+	}
+	c := o.stub
+	in.end(wire.Notice{Kind: "end", ID: n.ID, Status: "nothing"})
+	if c != nil {
+		c.fault("unknown-op")
 	}
 }
--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -16,21 +16,30 @@
 	used    time.Duration // when something last came or went on it
 	parting time.Duration // when it was asked to go away, 0 if it was not
 	checks  int           // health checks that wait for their verdict
-	dying   string        // it is closed for this reason once nothing is open
+	dying   string        // it was closed, for this reason
+	heard   bool          // a whole message has come on it
+	strikes int           // asks in a row that could never be served
 }
 
 // accept makes a new connection one of a client stub. It runs beside the owner loop.
 func (in *Instance) accept(l *wire.Link) {
 	s := l.Stub()
 	c := &caller{in: in, conn: s, open: map[uint32]*op{}}
-	s.OnOp = func(n uint32, ask wire.Ask) { in.read(c, n, ask) }
+	s.OnOp = func(n uint32, ask wire.Ask) {
+		c.heard = true
+		in.read(c, n, ask)
+	}
 	s.OnInterrupt = func(n uint32) {
-		c.used = in.now
+		c.heard = true
 		if o := c.open[n]; o != nil {
 			in.gone(o)
 		}
 	}
-	s.OnCheck = func(n uint32, deep bool) { in.check(c, n, deep) }
+	s.OnCheck = func(n uint32, deep bool) {
+		if c.heard = true; c.dying == "" {
+			in.check(c, n, deep)
+		}
+	}
 	s.OnFault = c.fault
 	s.OnEnd = func(string) {
 		delete(in.stubs, s)
@@ -47,15 +56,32 @@
 	})
 }
 
-// fault ends a connection, after what is open on it has been dealt with.
+// fault ends the connection of a client that broke the protocol, and fails what is open on it, at once.
+// Danger: an op of such a client that is acked, or one that leaves the client waiting for the others' ends.
 func (c *caller) fault(code string) {
 	if c.dying != "" {
 		return
 	}
-	c.dying = code
-	c.conn.Blame(code)
-	if len(c.open) == 0 {
-		c.conn.Close(code)
+	for _, n := range slices.Sorted(maps.Keys(c.open)) {
+		c.conn.Failed(n, c.in.with())
+		c.in.gone(c.open[n])
+	}
+	c.close(code)
+}
+
+// close ends a connection on which nothing is open.
+func (c *caller) close(code string) {
+	c.dying, c.used = code, c.in.now
+	c.conn.Close(code)
+}
+
+// turnedAway answers an ask that could never be served. Danger: a client that sends the same again at once, for ever,
+// takes the loop's time from the others; after some in a row it has to come by a new connection.
+func (c *caller) turnedAway(n uint32, code string) {
+	c.used = c.in.now
+	c.conn.Failed(n, c.in.with())
+	if c.strikes++; c.strikes >= 8 {
+		c.fault(code)
 	}
 }
 
@@ -67,19 +93,52 @@
 	}
 }
 
-// sweepConnections asks those to go away that have been unused for as long as the module allows.
+// sweepConnections asks those to go away that have been unused for as long as the module allows, and ends those on
+// which nothing whole comes. Danger: connections by the hundred on which nothing is said, or half an op, fill the table.
 func (in *Instance) sweepConnections() {
 	// How long a stub has to close after goaway; an op that crosses it comes within 50 ms.
 	const partingFor = 250 * time.Millisecond
+	// A message is 3 KiB at most and a stub opens a connection when it has one to send: many round trips of a poor
+	// link, and half of the 3 s in which whoever connects should hear something.
+	const patience = 1500 * time.Millisecond
+	const often = 100 * time.Millisecond
+	// Danger: a machine that stood still makes what came meanwhile look as if it had never come.
+	stood := in.now-in.swept > 5*often
+	in.swept = in.now
 	for _, c := range in.stubs {
 		switch {
+		case c.dying != "":
+			if in.now-c.used > time.Second { // it does not take the last answers either
+				c.conn.Cut()
+			}
+		case c.conn.Unfinished(in.wall) > patience && !stood:
+			c.fault("unfinished")
 		case len(c.open) > 0 || c.checks > 0:
+		case !c.heard && in.now-c.used > patience && !stood:
+			c.close("silent")
 		case c.parting > 0 && in.now-max(c.parting, c.used) > partingFor:
-			c.conn.Close("unused")
+			c.close("unused")
 		case c.parting == 0 && in.idle > 0 && in.now-c.used > in.idle:
 			c.part()
 		}
 	}
-	// A sixteenth of the usual span is near enough; it is ten times a second at most.
-	in.At(in.now+max(100*time.Millisecond, in.idle/16), in.sweepConnections)
+	in.At(in.now+often, in.sweepConnections)
+}
+
+// makeRoom ends the connection that has been unused for longest, those on which nothing was ever said first. Danger:
+// a table full of them, and stubs with ops that wait outside.
+func (in *Instance) makeRoom() {
+	const crossing = 100 * time.Millisecond // twice what an op may take to come that was sent before it saw the end
+	var first *caller
+	for _, c := range in.stubs {
+		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || in.now-c.used < crossing {
+			continue
+		}
+		if first == nil || first.heard && !c.heard || first.heard == c.heard && c.used < first.used {
+			first = c
+		}
+	}
+	if first != nil {
+		first.close("crowded")
+	}
 }
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -29,32 +29,37 @@
 // calls the methods here and is handed all that is read.
 type Net struct {
 	Buffers
+	Hand    func(...func()) // never waits
+	Read    func(...func()) // waits while the owner has too much to do; for the poller's reading alone
+	Accept  func(*Link)     // hears, beside the owner loop, of each connection that was accepted
+	Crowded func()          // the owner's: a connection waits for room under Most
+	Most    int64           // accepted connections at a time
+	Unread  int64           // past so many bytes, who leaves more than a few unread loses its connection
+
 	engine *nbio.Engine
-	hand   func(...func()) // never waits
-	read   func(...func()) // waits while the owner has too much to do; for the poller's reading alone
 	gate   *gate
 	dirty  []*Link
 	dials  map[string]chan func() // those that wait, by party; the owner's
+	ends   map[end]int            // connections that ended in this second
+	second time.Time              // when it began
 	stubs  atomic.Int64           // connections that were accepted and are not closed
 	unread atomic.Int64           // bytes of all connections that their peers have not taken yet
-	most   int64                  // past this, who leaves more than a few unread loses its connection
 }
 
 // mostUnwritten is what one peer may leave unread: the answers to 32 ops with the longest results.
 const mostUnwritten = 160 << 10
 
-// NewNet starts the poller and takes in as many connections as most; so many bytes may stand unread in all.
-// accept is called, beside the owner loop, with each connection.
-func NewNet(buffers Buffers, hand, read func(...func()), listen string, most, unread int, accept func(*Link)) (*Net, error) {
+// Start starts the poller and listens.
+func (n *Net) Start(listen string) error {
 	logging.SetLevel(logging.LevelError)
-	n := &Net{Buffers: buffers, hand: hand, read: read, dials: map[string]chan func(){}, most: int64(unread)}
+	n.dials, n.ends = map[string]chan func(){}, map[end]int{}
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listen}, NPoller: 1,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := net.Listen(network, addr)
 			if err != nil {
 				return nil, err
 			}
-			n.gate = &gate{TCPListener: l.(*net.TCPListener), net: n, most: int64(most), idle: make(chan struct{})}
+			n.gate = &gate{TCPListener: l.(*net.TCPListener), net: n, idle: make(chan struct{})}
 			return n.gate, nil
 		},
 		ReadBufferSize: BufferSize, MaxWriteBufferSize: mostUnwritten,
@@ -66,7 +71,7 @@
 		} else {
 			n.stubs.Add(1)
 			l = n.link(c, "stub")
-			accept(l)
+			n.Accept(l)
 			l.born.Store(true)
 		}
 	})
@@ -79,7 +84,7 @@
 		if l, is := c.Session().(*Link); is {
 			n.unread.Add(-int64(size))
 			if l.unwritten.Add(-int64(size)) == 0 && l.closing.Load() {
-				n.hand(l.shut)
+				n.Hand(l.Cut)
 			}
 		}
 	})
@@ -88,19 +93,35 @@
 			if l.opened == nil {
 				n.stubs.Add(-1)
 			}
-			n.hand(func() { l.end(err) })
+			n.Hand(func() { l.end(err) })
 		}
 	})
-	return n, n.engine.Start()
+	return n.engine.Start()
 }
 
-// Flush writes what the batch has gathered, each connection's answers together.
+// end is a kind of end that connections come to.
+type end struct{ party, code string }
+
+// few is how many lines a second one kind of end may leave; a handful shows who and how.
+const few = 4
+
+// Flush writes what the batch has gathered, each connection's answers together, and once a second a line for each
+// kind of end that had more than a few. Danger: connections that come by the hundred would fill the log with their ends,
+// and the core with writing it.
 func (n *Net) Flush() {
 	for _, l := range n.dirty {
 		l.dirty = false
 		l.flush()
 	}
 	n.dirty = n.dirty[:0]
+	if len(n.ends) > 0 && time.Since(n.second) > time.Second {
+		for e, count := range n.ends {
+			if count > few {
+				log.Printf("msg=ends party=%s code=%q more=%d", e.party, e.code, count-few)
+			}
+		}
+		clear(n.ends)
+	}
 }
 
 // Link is one connection. parse, fault and ended are its callbacks.
@@ -117,10 +138,11 @@
 	// opened hears of a connection that we dialled, before anything is read from it.
 	opened func(c *nbio.Conn)
 
-	born      atomic.Bool // what opened it has done so; orders that before the poller's reading
-	part      []byte      // an unfinished message; the poller's
-	deaf      bool        // reads on, to hear of the close, but takes nothing in; the poller's
-	out       []byte      // what the next flush writes; the owner's
+	born      atomic.Bool  // what opened it has done so; orders that before the poller's reading
+	part      []byte       // an unfinished message; the poller's
+	parted    atomic.Int64 // when it began, in Unix nanoseconds; 0 while there is none
+	deaf      bool         // reads on, to hear of the close, but takes nothing in; the poller's
+	out       []byte       // what the next flush writes; the owner's
 	dirty     bool
 	gone      bool
 	why       string
@@ -155,15 +177,15 @@
 			c, err = nbio.NBConn(conn)
 		}
 		if err != nil {
-			n.hand(func() { ready(err) })
+			n.Hand(func() { ready(err) })
 			return
 		}
 		c.SetSession(l)
 		l.opened = func(c *nbio.Conn) {
-			n.hand(func() {
+			n.Hand(func() {
 				l.nb = c
 				if l.why != "" { // closed while it was being opened
-					l.shut()
+					l.Cut()
 				}
 				ready(nil)
 			})
@@ -176,7 +198,7 @@
 func (l *Link) read(b []byte) {
 	var calls []func()
 	fault := ""
-	for len(b) > 0 && !l.deaf {
+	for len(b) > 0 && !l.deaf && !l.closing.Load() {
 		if len(l.part) == 0 {
 			var n int
 			n, fault = l.messages(b, &calls)
@@ -190,6 +212,7 @@
 			}
 			if l.part == nil {
 				l.part = l.net.Take()
+				l.parted.Store(time.Now().UnixNano())
 			}
 			l.part = append(l.part[:0], b...)
 			break
@@ -203,7 +226,10 @@
 		b = b[room:]
 		var n int
 		n, fault = l.messages(l.part, &calls)
-		l.part = l.part[:copy(l.part, l.part[n:])]
+		if n > 0 {
+			l.part = l.part[:copy(l.part, l.part[n:])]
+			l.parted.Store(time.Now().UnixNano())
+		}
 		if fault != "" {
 			break
 		}
@@ -211,6 +237,7 @@
 	if len(l.part) == 0 && l.part != nil {
 		l.net.Give(l.part)
 		l.part = nil
+		l.parted.Store(0)
 	}
 	if fault != "" {
 		l.deaf = true
@@ -223,7 +250,7 @@
 		})
 	}
 	if len(calls) > 0 {
-		l.net.read(calls...)
+		l.net.Read(calls...)
 	}
 }
 
@@ -278,18 +305,26 @@
 	if l.gone || l.nb == nil || len(b) == 0 {
 		return
 	}
-	const few = 16 << 10 // some answers with the longest results
+	const some = 16 << 10 // some answers with the longest results
 	// Danger: peers that read nothing, each within its bound, hold all the memory together.
-	if l.net.unread.Add(int64(len(b))) > l.net.most && l.unwritten.Load() > few {
+	if l.net.unread.Add(int64(len(b))) > l.net.Unread && l.unwritten.Load() > some {
 		l.net.unread.Add(-int64(len(b)))
 		l.Blame("never-reads")
-		l.shut()
+		l.Cut()
 		return
 	}
 	l.unwritten.Add(int64(len(b)))
 	_, _ = l.nb.Write(b) // a failure closes the connection, which is told by its callback
 }
 
+// Unfinished tells how long a message has been coming without an end.
+func (l *Link) Unfinished(now time.Time) time.Duration {
+	if began := l.parted.Load(); began != 0 {
+		return now.Sub(time.Unix(0, began))
+	}
+	return 0
+}
+
 // Blame notes why a connection is going to end, whoever ends it then.
 func (l *Link) Blame(code string) {
 	if l.why == "" {
@@ -306,12 +341,13 @@
 	l.flush()
 	l.closing.Store(true)
 	if l.unwritten.Load() <= 0 {
-		l.shut()
+		l.Cut()
 	}
 }
 
-func (l *Link) shut() {
-	if !l.gone {
+// Cut ends the connection at once, whatever is not written yet.
+func (l *Link) Cut() {
+	if !l.gone && l.nb != nil {
 		_ = l.nb.Close()
 	}
 }
@@ -336,7 +372,14 @@
 	default:
 		code = "never-reads"
 	}
-	log.Printf("msg=end party=%s code=%q open_ms=%d", l.party, code, time.Since(l.began).Milliseconds())
+	if len(l.net.ends) == 0 {
+		l.net.second = time.Now()
+	}
+	kind := end{l.party, code}
+	l.net.ends[kind]++
+	if l.net.ends[kind] <= few {
+		log.Printf("msg=end party=%s code=%q open_ms=%d", l.party, code, time.Since(l.began).Milliseconds())
+	}
 	if l.out != nil {
 		l.net.Give(l.out)
 		l.out = nil
@@ -351,7 +394,6 @@
 type gate struct {
 	*net.TCPListener
 	net  *Net
-	most int64
 	shut atomic.Bool
 	idle chan struct{}
 }
@@ -363,7 +405,8 @@
 		}
 		// Some round trips on one machine: short against an op, long against a core.
 		const again = 2 * time.Millisecond
-		if g.net.stubs.Load() >= g.most {
+		if g.net.stubs.Load() >= g.net.Most {
+			g.net.Hand(g.net.Crowded)
 			time.Sleep(again)
 			continue
 		}
