A connection for each call; spoilt calls of retryable ops are made again; timers leave the heap

Change: one connection a call, closed with its reply without a trace; a strict head; in the module a retryable op's broken call, or one given up while below is not crowded, is made again while a run's time is left, and a first call is given up at four times the slowest of the last. Moot is no sign of life. 4,096 messages handed over were 32 MiB of buffers; they are an eighth of the memory now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -266,7 +266,9 @@
 	crowd := float64(o.crowd+len(d.running)) / 2
 	d.closeCall(o, now)
 	d.forget(o)
-	d.lastLife = now
+	if how != Moot { // one that never started tells nothing of those that run
+		d.lastLife = now
+	}
 	if how == Acked || how == Failed {
 		d.endings++
 		d.results = lastOf(d.results, ended{now, how == Failed}, 16)
@@ -353,6 +355,11 @@
 		linger := d.facts.span("given-up call lingers")
 		until = min(until, now+(most-held)/time.Duration(d.callsInHand(now)+1)-linger)
 	}
+	// Danger: a reply that never comes holds its op until the slack is spent. Four times the slowest of the last
+	// calls is past what chance brings; a second call is given all the time there is.
+	if len(d.callRan) >= 16 && o.tries == 0 && o.kind.repeats == "retryable" {
+		until = min(until, now+4*slices.Max(d.callRan))
+	}
 	until = max(until, now+d.facts.span("tick"))
 	o.inCall = true
 	o.tries++
@@ -380,9 +387,14 @@
 	// Danger: a call that had its effect is sent again. Only an outcome that proves that it never ran, or an op
 	// that may run again, allows another try; three are enough to outlast a crowded moment.
 	again := how == Full || how == Unreached || o.kind.repeats == "retryable"
+	ease, usual := d.callEase()
 	switch {
 	case o.answered:
 		d.port.Fail(o.ID)
+	// Danger: one spoilt reply, or one that never comes, costs the better answer while there is time for another
+	// call: that of a whole run. A crowd below is not such a case, and is spared the second call.
+	case again && o.tries < 3 && (how == Broken || how == GivenUp && ease == 1 && usual > 0) &&
+		d.slack(o, now) > d.timeFor(o, len(d.running)+1):
 	case d.skipShare(o.kind) > 0:
 		d.skip(o)
 	case !again || o.tries >= 3 || d.slack(o, now) <= 0:
@@ -518,23 +530,6 @@
 	return min(max(n, d.cores+d.offCores()), d.crowdCeiling())
 }
 
-// offCores is how many runs wait for something else than a core, by the last gauges. Without them the floor
-// would leave cores idle wherever ops wait on disk.
-func (d *Desk) offCores() int {
-	var sum float64
-	n := 0
-	for _, l := range d.looks {
-		if l.wanting >= 0 {
-			sum += max(0, float64(l.running)-l.wanting)
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return int(math.Ceil(sum / float64(n)))
-}
-
 // crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
 // Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
 func (d *Desk) crowdCeiling() int {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -213,6 +213,62 @@
 	// 0ms skip call c
 }
 
+// One spoilt reply, or one that never comes, is no reason for the poorer answer while a run's time is left; the first
+// call is not waited for much longer than any took. What never started is no failure and no sign of life.
+func Example_spoilt() {
+	s := open(Facts{"below": "shared", "call share": 4.0, "calls over": time.Second,
+		"skip share by type": []float64{0.5, 0.5}})
+	s.warm(100 * ms)
+	s.quiet = true
+	for i := range 16 {
+		id := OpID(fmt.Sprint("called", i))
+		s.read(arrival(string(id), 100*ms, 0.1))
+		s.atCall[id]()
+		s.desk.Settle()
+		s.now += 20 * ms
+		s.called[id](Acked, 20*ms)
+		s.end(Acked, 100*ms, id)
+	}
+	s.quiet = false
+	s.read(arrival("a", 100*ms, 0.1))
+	s.atCall["a"]()
+	s.desk.Settle()
+	for _, how := range []Ending{GivenUp, Broken, Broken} {
+		fmt.Println("waits for", s.until-s.now)
+		s.now += 20 * ms
+		s.called["a"](how, 20*ms)
+		s.desk.Settle()
+	}
+	s.end(Acked, 100*ms, "a")
+	fmt.Println("with little time left")
+	s.read(arrival("b", 100*ms, 0.1))
+	s.atCall["b"]()
+	s.desk.Settle()
+	s.now += 920 * ms
+	s.called["b"](Broken, 920*ms)
+	s.end(Acked, 100*ms, "b")
+	s.read(arrival("c", 100*ms, 0.1))
+	life := s.desk.lastLife
+	s.now += ms
+	s.end(Moot, 0, "c")
+	fmt.Println(s.desk.lastLife == life, s.desk.failShare(s.now))
+	// Output:
+	// 1920ms run a
+	// 1920ms call a
+	// waits for 80ms
+	// 1940ms call a
+	// waits for 653.333333ms
+	// 1960ms call a
+	// waits for 640ms
+	// 1980ms skip call a
+	// with little time left
+	// 1980ms run b
+	// 1980ms call b
+	// 2900ms skip call b
+	// 2900ms run c
+	// true 0
+}
+
 // Drain: nothing that came after the grace runs, and all is answered before the kill.
 func Example_drain() {
 	s := open(nil)
--- a/choice/state.go
+++ b/choice/state.go
@@ -375,3 +375,20 @@
 	}
 	return busy
 }
+
+// offCores is how many runs wait for something else than a core, by the last gauges. Without them the floor
+// would leave cores idle wherever ops wait on disk.
+func (d *Desk) offCores() int {
+	var sum float64
+	n := 0
+	for _, l := range d.looks {
+		if l.wanting >= 0 {
+			sum += max(0, float64(l.running)-l.wanting)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return int(math.Ceil(sum / float64(n)))
+}
--- a/internal/keep/calls.go
+++ b/internal/keep/calls.go
@@ -7,27 +7,21 @@
 	"lanewheel/internal/wire"
 )
 
-// database is the connections to the database that all instances share.
+// database is the calls to the database that all instances share. Each has a connection of its own. Danger: a reply may
+// come twice, or noise behind it, and what comes late on a connection that is used again would be taken for the next
+// call's reply; and a resting connection may be forgotten there, so that nobody can tell whether the next call ran.
 type database struct {
 	open int     // connections that stand or are being opened
 	most int     // as many as the descriptors left beside the client stubs allow
-	idle []*held // those without a call, the last used at the end
 	wait []*call // calls that wait for one
 }
 
-// held is one connection, with the call that is on it.
-type held struct {
-	conn *wire.Database
-	call *call
-	used time.Duration
-}
-
 // call is one call of a run, until its outcome is told.
 type call struct {
 	op    *op
 	began time.Duration
 	until time.Duration
-	on    *held
+	conn  *wire.Database // nil while it waits for room
 	sent  bool
 	limit *Timer
 	done  func(choice.Ending, time.Duration)
@@ -43,14 +37,6 @@
 	c := &call{op: o, began: in.now, until: until, done: done}
 	o.run.call = c
 	c.limit = in.At(until, func() { d.end(in, c, c.cut(choice.GivenUp)) })
-	for len(d.idle) > 0 {
-		h := d.idle[len(d.idle)-1]
-		d.idle = d.idle[:len(d.idle)-1]
-		if !h.conn.Spent() {
-			d.put(in, h, c)
-			return
-		}
-	}
 	if d.open >= d.most {
 		d.wait = append(d.wait, c)
 		return
@@ -58,57 +44,35 @@
 	d.dial(in, c)
 }
 
-// dial opens a connection for a call.
+// dial opens the connection of a call and sends it.
 func (d *database) dial(in *Instance, c *call) {
-	h := &held{call: c}
-	c.on = h
 	d.open++
-	h.conn = in.net.DialDatabase(in.told.Database, func(refused error) {
-		if refused != nil {
+	addr := in.told.Database
+	var conn *wire.Database
+	conn = in.net.DialDatabase(addr, func(refused error) {
+		switch {
+		case refused == nil && c.op.run != nil && c.op.run.call == c:
+			c.sent = true
+			conn.Call(addr, c.op.id, c.until-in.now, c.op.run.ask)
+		case refused != nil:
 			d.open--
-			if h.call != nil {
-				d.end(in, h.call, choice.Unreached) // nothing was sent
+			if c.op.run != nil && c.op.run.call == c && addr != in.told.Database { // it has moved since
+				d.dial(in, c)
+				return
 			}
+			d.end(in, c, choice.Unreached) // nothing was sent
 			d.next(in)
-			return
-		}
-		if h.call != nil {
-			d.put(in, h, h.call)
 		}
 	})
-	h.conn.OnReply = func(r wire.Reply) { d.reply(in, h, r) }
-	h.conn.OnEnd = func(string) {
+	c.conn = conn
+	conn.OnReply = func(r wire.Reply) { d.reply(in, c, r) }
+	conn.OnEnd = func(string) {
 		d.open--
-		if h.call != nil {
-			d.end(in, h.call, h.call.cut(choice.Broken))
-		}
+		d.end(in, c, c.cut(choice.Broken))
 		d.next(in)
 	}
 }
 
-func (d *database) put(in *Instance, h *held, c *call) {
-	h.call, c.on, c.sent = c, h, true
-	h.conn.Call(in.told.Database, c.op.id, c.until-in.now, c.op.run.ask)
-}
-
-// rest keeps a connection for the next call; it is closed well before the 10 s at which the database does.
-func (d *database) rest(in *Instance, h *held) {
-	h.used = in.now
-	if len(d.wait) > 0 {
-		c := d.wait[0]
-		d.wait = d.wait[1:]
-		d.put(in, h, c)
-		return
-	}
-	d.idle = append(d.idle, h)
-	since := h.used
-	in.At(in.now+5*time.Second, func() {
-		if h.call == nil && h.used == since {
-			h.conn.Close("unused")
-		}
-	})
-}
-
 // next gives a waiting call the room that a connection has left.
 func (d *database) next(in *Instance) {
 	if len(d.wait) > 0 && d.open < d.most {
@@ -119,13 +83,10 @@
 }
 
 // reply tells what a reply proves, and no more.
-func (d *database) reply(in *Instance, h *held, r wire.Reply) {
-	c := h.call
-	if c == nil {
-		h.conn.Close("unasked-reply")
+func (d *database) reply(in *Instance, c *call, r wire.Reply) {
+	if c.op.run == nil || c.op.run.call != c {
 		return
 	}
-	h.call, c.on = nil, nil
 	how := choice.Failed
 	switch {
 	case r.Status == 200:
@@ -141,15 +102,11 @@
 	case r.Status == 504:
 		how = choice.GivenUp
 	}
+	c.conn.Blame("answered")
 	d.end(in, c, how)
-	if h.conn.Spent() {
-		h.conn.Close("reply-ends-it")
-		return
-	}
-	d.rest(in, h)
 }
 
-// end tells the outcome of a call, once.
+// end tells the outcome of a call, once, and ends its connection.
 func (d *database) end(in *Instance, c *call, how choice.Ending) {
 	if c.op.run == nil || c.op.run.call != c {
 		return
@@ -174,10 +131,8 @@
 		return
 	}
 	c.limit.Drop()
-	if c.on != nil {
-		c.on.call = nil
-		c.on.conn.Close("call-given-up")
-		c.on = nil
+	if c.conn != nil {
+		c.conn.Close("call-given-up")
 	}
 	for i, waiting := range d.wait {
 		if waiting == c {
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -59,7 +59,8 @@
 
 // Open makes an instance that listens and looks for its runtime.
 func Open(told Told) (*Instance, error) {
-	in := &Instance{Loop: NewLoop(), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
+	buffers := int(told.MemoryMB*(1<<20)) / wire.BufferSize
+	in := &Instance{Loop: NewLoop(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
 		stubs: map[*wire.Stub]*caller{}, idle: span(told.Facts, "connections idle")}
 	in.health.good = true
 	in.kinds, in.tenants = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}
@@ -71,8 +72,9 @@
 		name, _ := tenant["name"].(string)
 		in.tenants[choice.TenantID(name)] = true
 	}
-	// A quarter of the memory is for bodies in hand; the module's own bound is far below it where ops are large.
-	in.most = int(told.MemoryMB*(1<<20)) / 4 / wire.BufferSize
+	// A quarter of the memory is for bodies in hand; the module's own bound is far below it where ops are large. An
+	// eighth is for what was read and is not taken yet.
+	in.most = buffers / 4
 	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed. An eighth
 	// of the memory is for answers that nobody reads.
 	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: in.accept, Crowded: in.makeRoom,
--- a/internal/keep/loop.go
+++ b/internal/keep/loop.go
@@ -10,6 +10,7 @@
 type Loop struct {
 	mu     sync.Mutex
 	handed []func()
+	most   int           // of those, before who reads has to wait
 	taken  *sync.Cond    // the owner has taken what was handed
 	wake   chan struct{} // one token: something is handed
 
@@ -20,9 +21,9 @@
 	over   bool
 }
 
-// NewLoop starts module time.
-func NewLoop() *Loop {
-	l := &Loop{wake: make(chan struct{}, 1), began: time.Now()}
+// NewLoop starts module time. Past so many calls handed over and not taken, who reads has to wait.
+func NewLoop(most int) *Loop {
+	l := &Loop{most: most, wake: make(chan struct{}, 1), began: time.Now()}
 	l.wall = l.began
 	l.taken = sync.NewCond(&l.mu)
 	return l
@@ -42,9 +43,8 @@
 // HandRead is for what is read from connections. Danger: peers that send faster than the owner takes would fill
 // the memory; the poller waits here, and they wait in the kernel. It must hold no connection's lock.
 func (l *Loop) HandRead(calls ...func()) {
-	const most = 4096 // some batches of the busiest day, 32 MiB of buffers
 	l.mu.Lock()
-	for len(l.handed) > most {
+	for len(l.handed) > l.most {
 		l.taken.Wait()
 	}
 	l.mu.Unlock()
@@ -82,7 +82,7 @@
 
 // At has the owner call then at a time since the start. Only the owner may ask for it.
 func (l *Loop) At(at time.Duration, then func()) *Timer {
-	t := &Timer{at: at, then: then}
+	t := &Timer{at: at, then: then, of: &l.timers}
 	l.timers.add(t)
 	return t
 }
@@ -92,12 +92,14 @@
 	at   time.Duration
 	nth  uint64 // among those of one time the first asked for is the first to fire
 	then func()
+	of   *timers
+	on   int // its place in the heap, under 0 once it is out
 }
 
-// Drop makes it do nothing. It stays in the heap until its time.
+// Drop takes it out. Danger: on a long day, what a dropped one holds would stay until its time.
 func (t *Timer) Drop() {
-	if t != nil {
-		t.then = nil
+	if t != nil && t.on >= 0 {
+		heap.Remove(t.of, t.on)
 	}
 }
 
@@ -111,11 +113,19 @@
 	a, b := t.heap[i], t.heap[j]
 	return a.at < b.at || a.at == b.at && a.nth < b.nth
 }
-func (t *timers) Swap(i, j int) { t.heap[i], t.heap[j] = t.heap[j], t.heap[i] }
-func (t *timers) Push(x any)    { t.heap = append(t.heap, x.(*Timer)) }
+func (t *timers) Swap(i, j int) {
+	t.heap[i], t.heap[j] = t.heap[j], t.heap[i]
+	t.heap[i].on, t.heap[j].on = i, j
+}
+func (t *timers) Push(x any) {
+	x.(*Timer).on = len(t.heap)
+	t.heap = append(t.heap, x.(*Timer))
+}
 func (t *timers) Pop() any {
-	last := t.heap[len(t.heap)-1]
-	t.heap = t.heap[:len(t.heap)-1]
+	end := len(t.heap) - 1
+	last := t.heap[end]
+	t.heap[end], t.heap = nil, t.heap[:end]
+	last.on = -1
 	return last
 }
 
@@ -125,11 +135,8 @@
 	heap.Push(t, x)
 }
 
-// next is when the first one fires that was not dropped.
+// next is when the first one fires.
 func (t *timers) next() (time.Duration, bool) {
-	for len(t.heap) > 0 && t.heap[0].then == nil {
-		heap.Pop(t)
-	}
 	if len(t.heap) == 0 {
 		return 0, false
 	}
--- a/internal/wire/database.go
+++ b/internal/wire/database.go
@@ -9,7 +9,7 @@
 	"lanewheel/choice"
 )
 
-// The database speaks HTTP/1.1, one call at a time on each connection.
+// The database speaks HTTP/1.1. Each connection carries one call and is closed with its reply.
 
 // Reply is what came back: the status and what its fields prove. Body stays valid only during the callback.
 type Reply struct {
@@ -23,12 +23,11 @@
 	*Link
 	OnReply func(Reply)
 	OnEnd   func(code string)
-	close   bool // the reply said that the connection ends with it
 }
 
 // DialDatabase opens a connection; ready is called once it stands or with what refused it.
 func (n *Net) DialDatabase(addr string, ready func(refused error)) *Database {
-	d := &Database{Link: &Link{net: n, party: "database", began: time.Now()}}
+	d := &Database{Link: &Link{net: n, party: "database", began: time.Now(), abrupt: true}}
 	d.parse = d.message
 	d.ended = func(code string) { d.OnEnd(code) }
 	n.dial(d.Link, addr, ready)
@@ -43,51 +42,62 @@
 	b = strconv.AppendInt(b, max(1, limit.Milliseconds()), 10)
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(body)), 10)
-	b = append(b, "\r\n\r\n"...)
+	b = append(b, "\r\nConnection: close\r\n\r\n"...)
 	d.put(append(b, body...))
 }
 
-// Spent tells that the connection takes no further call.
-func (d *Database) Spent() bool { return d.close || d.gone || d.why != "" }
-
-// message reads one reply. Its length is told, or it comes in chunks.
+// message reads the one reply. Its length is told, or it comes in chunks. Danger: a reply that can be read in more than
+// one way. What is told twice or against itself, or has no length, is none.
 func (d *Database) message(b []byte) (int, func(), string) {
+	const starts = "HTTP/1."
+	if n := min(len(b), len(starts)); string(b[:n]) != starts[:n] { // noise, and no need to wait for its end
+		return 0, nil, "bad-reply"
+	}
 	end := bytes.Index(b, []byte("\r\n\r\n"))
 	if end < 0 {
 		return 0, nil, ""
 	}
 	lines := strings.Split(string(b[:end]), "\r\n")
-	version, rest, _ := strings.Cut(lines[0], " ")
-	code, _, _ := strings.Cut(rest, " ")
+	code, _, _ := strings.Cut(lines[0][min(len(lines[0]), len("HTTP/1.1 ")):], " ")
 	status, err := strconv.Atoi(code)
-	if err != nil || status < 100 || status > 999 || !strings.HasPrefix(version, "HTTP/1.") {
+	if err != nil || len(code) != 3 || status < 100 || lines[0][len("HTTP/1.1")] != ' ' {
 		return 0, nil, "bad-reply"
 	}
 	reply := Reply{Status: status}
-	size, chunked, ends := 0, false, version == "HTTP/1.0"
+	size, chunked := -1, false
 	for _, line := range lines[1:] {
-		name, value, _ := strings.Cut(line, ":")
-		value = strings.TrimSpace(value)
+		name, value, whole := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		if !whole || name == "" || strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f }) ||
+			strings.ContainsFunc(value, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }) {
+			return 0, nil, "bad-reply"
+		}
 		switch strings.ToLower(name) {
 		case "content-length":
-			if size, err = strconv.Atoi(value); err != nil || size < 0 {
+			n, err := strconv.ParseUint(value, 10, 62)
+			if err != nil || size >= 0 && size != int(n) {
 				return 0, nil, "bad-reply"
 			}
+			size = int(n)
 		case "transfer-encoding":
-			chunked = strings.EqualFold(value, "chunked")
-		case "connection":
-			ends = ends || strings.EqualFold(value, "close")
+			if chunked || !strings.EqualFold(value, "chunked") {
+				return 0, nil, "bad-reply"
+			}
+			chunked = true
 		case "never-started":
-			reply.NeverStarted = value == "1"
+			reply.NeverStarted = value == "1" && (status == 503 || status == 409)
 		}
 	}
 	at := end + 4
-	if status < 200 { // an interim reply: the real one follows
+	switch {
+	case status < 200: // an interim reply: the real one follows
 		return at, nil, ""
-	}
-	if size > BufferSize {
+	case chunked && size >= 0, !chunked && size < 0 && status == 200:
+		return 0, nil, "bad-reply"
+	case size > BufferSize-at:
 		return 0, nil, "too-long"
 	}
+	size = max(size, 0)
 	body := d.net.Take()
 	if chunked {
 		body, at = chunks(body, b, at)
@@ -104,8 +114,8 @@
 		return 0, nil, ""
 	}
 	reply.Body = body
+	d.deaf = true // whatever comes behind it belongs to nothing
 	return at, func() {
-		d.close = d.close || ends
 		d.OnReply(reply)
 		d.net.Give(body)
 	}, ""
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -137,6 +137,8 @@
 	ended func(code string)
 	// opened hears of a connection that we dialled, before anything is read from it.
 	opened func(c *nbio.Conn)
+	// abrupt ends it without a trace. Danger: a connection for each call would leave all ports waiting for late bytes.
+	abrupt bool
 
 	born      atomic.Bool  // what opened it has done so; orders that before the poller's reading
 	part      []byte       // an unfinished message; the poller's
@@ -158,17 +160,19 @@
 
 // dial opens a connection; ready is called with nil once it stands. A refused one proves that nothing was sent.
 // Danger: the library's own DialAsync (v1.6.8) takes the first four bytes of an address that has sixteen, and
-// so connects to 0.0.0.0. Each party has one goroutine that dials instead, and one that hangs holds up no other.
+// so connects to 0.0.0.0. Each party has a few goroutines that dial instead, so that one that hangs holds up no other.
 func (n *Net) dial(l *Link, addr string, ready func(refused error)) {
 	queue := n.dials[l.party]
 	if queue == nil {
 		queue = make(chan func(), 1024) // more than there are descriptors for
 		n.dials[l.party] = queue
-		go func() {
-			for next := range queue {
-				next()
-			}
-		}()
+		for range 4 {
+			go func() {
+				for next := range queue {
+					next()
+				}
+			}()
+		}
 	}
 	queue <- func() {
 		conn, err := net.DialTimeout("tcp", addr, 2*time.Second)
@@ -203,7 +207,7 @@
 			var n int
 			n, fault = l.messages(b, &calls)
 			b = b[n:]
-			if fault != "" || len(b) == 0 {
+			if fault != "" || len(b) == 0 || l.deaf {
 				break
 			}
 			if len(b) >= BufferSize {
@@ -230,7 +234,8 @@
 			l.part = l.part[:copy(l.part, l.part[n:])]
 			l.parted.Store(time.Now().UnixNano())
 		}
-		if fault != "" {
+		if fault != "" || l.deaf {
+			l.part = l.part[:0]
 			break
 		}
 	}
@@ -255,7 +260,7 @@
 }
 
 func (l *Link) messages(b []byte, calls *[]func()) (used int, fault string) {
-	for used < len(b) {
+	for used < len(b) && !l.deaf {
 		n, call, fault := l.parse(b[used:])
 		if fault != "" || n == 0 {
 			return used, fault
@@ -348,6 +353,9 @@
 // Cut ends the connection at once, whatever is not written yet.
 func (l *Link) Cut() {
 	if !l.gone && l.nb != nil {
+		if l.abrupt {
+			_ = l.nb.SetLinger(1, 0)
+		}
 		_ = l.nb.Close()
 	}
 }
