A crowd below no longer stops all calls for as long as earlier ones are remembered

A trace of the module four times a second shows 60 to 98 ops at a call, none in hand, for seconds: ease 0.25 after a few slow calls, 18.7 s held in the last five against 0.25 of 67.5.

Line at fault: callRoom eased both the count of calls and the time they may be held, and the time was held before the crowd. With no call going out the slow samples stayed the latest, so nothing but forgetting ended it. The time is eased now only where the share allows no two calls at once.

Ruled out: replies that never come alone (given up at four times the slowest; the freeze came with all answered), our own lateness (loop lag under 0.13 ms at slow calls).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -319,9 +319,13 @@
 		return d.callsInHand(now) < 2*d.cores
 	}
 	ease, latest := d.callEase()
+	share, eased := d.facts.num("call share"), ease
 	most, held := d.callTime(now)
-	return float64(d.callsInHand(now)+1) <= max(1, ease*d.facts.num("call share")) &&
-		(held == 0 || held+4*latest+d.facts.span("given-up call lingers") < time.Duration(ease*float64(most)))
+	if share >= 1 { // Danger: what was held before it got crowded is more than what is eased, and no call goes out
+		eased = 1 // for as long as that is remembered. The count alone is eased.
+	}
+	return float64(d.callsInHand(now)+1) <= max(1, ease*share) &&
+		(held == 0 || held+4*latest+d.facts.span("given-up call lingers") < time.Duration(eased*float64(most)))
 }
 
 // callTime is how long calls may be in hand, summed over the told span, and how long they were: a tenth less
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -459,6 +459,15 @@
 	s.now += 100 * ms
 	s.called["a"](Acked, 100*ms)
 	s.desk.Settle()
+	fmt.Println("much was held before it was crowded")
+	s.called["b"](Acked, 100*ms)
+	s.end(Acked, 200*ms, "a", "b")
+	for range 3 {
+		s.desk.calls = append(s.desk.calls, call{from: s.now - 900*ms, until: s.now})
+	}
+	s.read(arrival("c", 100*ms, 0.1))
+	s.atCall["c"]()
+	s.desk.Settle()
 	// Output:
 	// calls of 10ms: 1.00 of the share
 	// calls of 100ms: 0.40 of the share
@@ -466,6 +475,9 @@
 	// 0ms run b
 	// 0ms call a
 	// 100ms call b
+	// much was held before it was crowded
+	// 100ms run c
+	// 100ms call c
 }
 
 // A run past its target latency is stopped while another waits and no core is free.
