Two tests that depended on timing mended; a used connection makes room only after a second

Seen: eight copies of the tests at once: an ask sent on a connection that was just closed hears a reset or a close; and with all silent connections younger than 100 ms the used one was let go. The latter is a fault of makeRoom (stubs.go): a stub's connection in use now is the last to go.

--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -128,10 +128,12 @@
 // makeRoom ends the connection that has been unused for longest, those on which nothing was ever said first. Danger:
 // a table full of them, and stubs with ops that wait outside.
 func (in *Instance) makeRoom() {
-	const crossing = 100 * time.Millisecond // twice what an op may take to come that was sent before it saw the end
+	// Twice what an op may take to come that was sent before its stub saw the end; ten times that where ops have come.
+	const crossing, again = 100 * time.Millisecond, time.Second
 	var first *caller
 	for _, c := range in.stubs {
-		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || in.now-c.used < crossing {
+		unused := in.now - c.used
+		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || unused < crossing || c.heard && unused < again {
 			continue
 		}
 		if first == nil || first.heard && !c.heard || first.heard == c.heard && c.used < first.used {
