--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -52,6 +52,38 @@
 	// true 0
 }
 
+// Without a link the gauges last heard count for some looks, and then nothing is known.
+func Example_oldGauges() {
+	in := &Instance{Loop: NewLoop(9)}
+	in.load(wire.Notice{Mark: "look"})
+	in.gauges["want a core"] = 3
+	for _, in.now = range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
+		in.look(func(gauges map[string]float64) { fmt.Println(in.now, gauges) })
+	}
+	// Output:
+	// 0s map[want a core:3]
+	// 200ms map[want a core:3]
+	// 400ms map[]
+}
+
+// Dropped timers leave nothing behind.
+func Example_dropped() {
+	l := NewLoop(9)
+	var all []*Timer
+	for i := range 9 {
+		all = append(all, l.At(time.Duration(i%4), func() {}))
+	}
+	for _, t := range all[2:] {
+		t.Drop()
+		t.Drop()
+	}
+	fmt.Println(len(l.timers.heap))
+	fmt.Println(l.timers.fire(1), l.timers.fire(1), l.timers.fire(1))
+	// Output:
+	// 2
+	// true true false
+}
+
 // Buffers of another size are not taken back.
 func Example_pool() {
 	p := &Pool{}
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -35,6 +35,7 @@
 	backoff time.Duration
 	asked   string // the mark of the gauges that are awaited
 	looks   []func(map[string]float64)
+	gauged  time.Duration // when the gauges last came
 	tests   map[string]func(good bool)
 }
 
@@ -145,7 +146,7 @@
 // behind all replayed notices, and only then what is still open is sent again.
 func (in *Instance) load(n wire.Notice) {
 	l := &in.runtime
-	in.gauges = map[string]float64{}
+	in.gauges, l.gauged = map[string]float64{}, in.now
 	for i, name := range in.told.Gauges {
 		if i < len(n.Gauges) {
 			in.gauges[name] = n.Gauges[i]
@@ -209,9 +210,15 @@
 	l.asked = ""
 	looks := l.looks
 	l.looks = nil
+	gauges := in.gauges
+	// Danger: what was true before a link was lost is believed for as long as there is none. Past some looks of the
+	// module it hears that nothing is known.
+	if in.now-l.gauged > 300*time.Millisecond {
+		gauges = nil
+	}
 	for _, then := range looks {
 		in.touched = true
-		then(in.gauges)
+		then(gauges)
 	}
 }
 
