--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -473,6 +473,7 @@
 	for range 5 {
 		s.desk.calls = append(s.desk.calls, call{from: s.now - 900*ms, until: s.now})
 	}
+	s.now += ms
 	s.read(arrival("c", 100*ms, 0.1))
 	s.atCall["c"]()
 	s.desk.Settle()
@@ -485,8 +486,8 @@
 	// 0ms call a
 	// 100ms call b
 	// much was held before it was crowded
-	// 100ms run c
-	// 100ms call c
+	// 101ms run c
+	// 101ms call c
 	// c may take 400ms
 }
 
