--- a/choice/choice.go
+++ b/choice/choice.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	if !o.Retry {
-		t.came = lastOf(t.came, now, 2048) // 500 a second: a tenant at the fastest instance seen sends half of it
+		t.came = lastOf(t.came, now, 2048) // 500 a second, twice what came of one at the fastest
 	}
 	const over = 4 * time.Second // some tens of arrivals at the usual loads
 	came, quotas := d.tenantsSince(now - over)
@@ -311,12 +311,12 @@
 	}
 }
 
-// callRoom bounds the calls in hand by nine tenths of the told share, as all instances start some at once. A
-// share under one call is a part of the time, in the mean over the told span. With a tier below no share is told;
-// two calls a core keep the cores busy while calls are no slower than runs.
+// callRoom bounds the calls in hand by nine tenths of the told share, as all instances start some at once; a
+// share under one call is a part of the time, in the mean over the told span. With a tier below no share is
+// told; two calls a core keep the cores busy while calls are no slower than runs.
 // Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
-// Danger: time that earlier calls used up must not cut the next ones short where several are allowed at once: they
-// are given up, linger and use up more, until none is answered, long after what is below is well again.
+// Danger: time that earlier calls used up must not cut the next ones short where several are allowed at once:
+// they are given up, linger and use up more, until none is answered, long after what is below is well again.
 func (d *Desk) callRoom(now time.Duration) bool {
 	share := d.facts.num("call share")
 	if d.facts.text("below") != "shared" || share <= 0 {
@@ -328,8 +328,8 @@
 		held+4*latest+d.facts.span("given-up call lingers") < time.Duration(ease*float64(most)))
 }
 
-// callTime is how long calls may be in hand, summed over the told span, and how long they were, where the share
-// is a part of the time: a tenth less than the share.
+// callTime is how long calls may be in hand, summed over the told span, and how long they were, where the
+// share is a part of the time: a tenth less than the share.
 func (d *Desk) callTime(now time.Duration) (most, held time.Duration) {
 	share, over := d.facts.num("call share"), max(d.facts.span("calls over"), time.Second)
 	if share >= 1 {
