--- a/cmd/lanewheel/main.go
+++ b/cmd/lanewheel/main.go
@@ -1,14 +1,10 @@
-// Command lanewheel is one service instance on sockets.
+// Command lanewheel is one service instance on sockets, and the operators' commands round it.
 package main
 
 import (
-	"log"
+	"os"
 
-	"lanewheel/internal/life"
+	"lanewheel/internal/command"
 )
 
-func main() {
-	if err := life.Live(); err != nil {
-		log.Fatalf("msg=cannot-start err=%q", err)
-	}
-}
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/lanewheel/main_test.go
+++ b/cmd/lanewheel/main_test.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"lanewheel/internal/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -22,19 +26,19 @@
 	t := up()
 	defer t.close()
 	s := t.stub()
-	s.send(op(7, "view", id(1), []byte("a\xff")))
-	fmt.Println(t.rt.hear())
-	t.rt.notice("wants", id(1), "", "ask")
-	call := t.db.next()
-	fmt.Println(call.text)
-	call.reply("200 OK", "", "rows")
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(1), "success", "res\xff")
-	fmt.Println(s.hear())
-	s.send(op(8, "pay", id(2), nil))
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(2), "failure", "")
-	fmt.Println(s.hear())
+	s.Send(standin.Op(7, "view", standin.ID(1), []byte("a\xff")))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("wants", standin.ID(1), "", "ask")
+	call := t.db.Next()
+	fmt.Println(call.Text)
+	call.Reply("200 OK", "", "rows")
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "res\xff")
+	fmt.Println(s.Hear())
+	s.Send(standin.Op(8, "pay", standin.ID(2), nil))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(2), "failure", "")
+	fmt.Println(s.Hear())
 	// Output:
 	// start 1 route view body "a\xff"
 	// POST /v1/exec for 1 timed true body "ask"
@@ -49,23 +53,23 @@
 func Example_nackedAndGivenUp() {
 	t := up()
 	defer t.close()
-	t.rt.conn.Close()
-	t.rt.silent = true
-	t.rt.take()
-	t.rt.ready("steady")
+	t.rt.Conn.Close()
+	t.rt.Silent = true
+	t.rt.Take()
+	t.rt.Ready("steady")
 	fence(t)
 	s := t.stub()
-	s.send(op(3, "view", id(3), nil, "kb", "1999"))
-	fmt.Println(s.hear())
-	s.send(op(4, "pay", id(4), nil, "wait", "300"))
+	s.Send(standin.Op(3, "view", standin.ID(3), nil, "kb", "1999"))
+	fmt.Println(s.Hear())
+	s.Send(standin.Op(4, "pay", standin.ID(4), nil, "wait", "300"))
 	began := time.Now()
-	fmt.Println(t.rt.hear())
-	fmt.Println(s.hear())
+	fmt.Println(t.rt.Hear())
+	fmt.Println(s.Hear())
 	fmt.Println("in time:", time.Since(began) < 350*time.Millisecond)
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(4), "interrupted", "")
-	s.send([]any{0, 9, "check", []any{map[string]string{}}})
-	fmt.Println(s.hear()[:20]) // the check's answer, no second one of the op; unwell, as a run hung
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(4), "interrupted", "")
+	s.Send([]any{0, 9, "check", []any{map[string]string{}}})
+	fmt.Println(s.Hear()[:20]) // the check's answer, no second one of the op; unwell, as a run hung
 	// Output:
 	// ['\x01' '\x03' ["Busy" map[]] <nil>]
 	// start 4 route pay body ""
@@ -78,7 +82,7 @@
 // fence answers the mark behind the replayed notices of a link whose gauges are otherwise left unanswered.
 func fence(t *town) {
 	for i := range 9 {
-		fmt.Fprintf(t.rt.conn, `{"t":"load","mark":"fence-%d","v":[0.1,0]}`+"\n", i)
+		fmt.Fprintf(t.rt.Conn, `{"t":"load","mark":"fence-%d","v":[0.1,0]}`+"\n", i)
 	}
 }
 
@@ -87,35 +91,35 @@
 	t := up()
 	defer t.close()
 	s := t.stub()
-	for i, how := range []func(c *dbCall){
-		func(c *dbCall) { c.reply("500 Failed", "", "") },
-		func(c *dbCall) { c.reply("504 Late", "", "") },
-		func(c *dbCall) { c.conn.Close() },
-		func(c *dbCall) { fmt.Fprint(c.conn, "what?") },
-		func(c *dbCall) { c.reply("503 Full", "Never-Started: 1\r\n", "") },
-		func(c *dbCall) { c.reply("409 None", "Never-Started: 1\r\n", "") },
+	for i, how := range []func(c *standin.Call){
+		func(c *standin.Call) { c.Reply("500 Failed", "", "") },
+		func(c *standin.Call) { c.Reply("504 Late", "", "") },
+		func(c *standin.Call) { c.Conn.Close() },
+		func(c *standin.Call) { fmt.Fprint(c.Conn, "what?") },
+		func(c *standin.Call) { c.Reply("503 Full", "Never-Started: 1\r\n", "") },
+		func(c *standin.Call) { c.Reply("409 None", "Never-Started: 1\r\n", "") },
 	} {
 		n := i + 1
-		s.send(op(n, "pay", id(n), nil))
-		t.rt.hear()
-		t.rt.notice("wants", id(n), "", "ask")
-		how(t.db.next())
+		s.Send(standin.Op(n, "pay", standin.ID(n), nil))
+		t.rt.Hear()
+		t.rt.Notice("wants", standin.ID(n), "", "ask")
+		how(t.db.Next())
 		if i < 4 {
-			fmt.Println(s.hear())
+			fmt.Println(s.Hear())
 		} else {
-			fmt.Println(t.db.next().text)
-			s.send([]any{2, "interrupt", []any{n}})
+			fmt.Println(t.db.Next().Text)
+			s.Send([]any{2, "interrupt", []any{n}})
 		}
-		t.rt.notice("end", id(n), "interrupted", "")
+		t.rt.Notice("end", standin.ID(n), "interrupted", "")
 	}
 	// each has its own connection, and the run's end gives its call up
-	until("the end of all connections", func() bool { return len(t.db.ended) == 8 })
+	standin.Until("the end of all connections", func() bool { return len(t.db.Ended) == 8 })
 	// refused: it never ran, and this type can do without
-	t.db.listener.Close()
-	s.send(op(9, "list", id(9), nil))
-	t.rt.hear()
-	t.rt.notice("wants", id(9), "", "ask")
-	fmt.Println(t.rt.hear())
+	t.db.Listener.Close()
+	s.Send(standin.Op(9, "list", standin.ID(9), nil))
+	t.rt.Hear()
+	t.rt.Notice("wants", standin.ID(9), "", "ask")
+	fmt.Println(t.rt.Hear())
 	// Output:
 	// ['\x01' '\x01' ["Failed" map[]] <nil>]
 	// ['\x01' '\x02' ["Failed" map[]] <nil>]
@@ -132,34 +136,34 @@
 	t := up()
 	defer t.close()
 	s := t.stub()
-	s.send(op(1, "pay", id(1), nil), op(2, "pay", id(2), []byte("b")))
-	fmt.Println(t.rt.hear())
-	fmt.Println(t.rt.hear())
-	t.rt.notice("wants", id(1), "", "ask")
-	call := t.db.next()
-	t.rt.conn.Close()
-	for s.check() && t.rt.hear() != "link closed" {
+	s.Send(standin.Op(1, "pay", standin.ID(1), nil), standin.Op(2, "pay", standin.ID(2), []byte("b")))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("wants", standin.ID(1), "", "ask")
+	call := t.db.Next()
+	t.rt.Conn.Close()
+	for s.Check() && t.rt.Hear() != "link closed" {
 	}
-	call.reply("200 OK", "", "rows")
-	fmt.Println("sync", t.rt.take())
-	s.send(op(3, "pay", id(3), []byte("c")))
-	fmt.Println("deaf link, well:", s.check())
-	t.rt.ready("steady")
-	t.rt.notice("end", id(2), "success", "two")
-	fmt.Println(s.hear())
+	call.Reply("200 OK", "", "rows")
+	fmt.Println("sync", t.rt.Take())
+	s.Send(standin.Op(3, "pay", standin.ID(3), []byte("c")))
+	fmt.Println("deaf link, well:", s.Check())
+	t.rt.Ready("steady")
+	t.rt.Notice("end", standin.ID(2), "success", "two")
+	fmt.Println(s.Hear())
 	heard := map[string]int{}
 	for range 2 {
-		heard[t.rt.hear()]++
+		heard[t.rt.Hear()]++
 	}
 	fmt.Println(heard)
-	t.rt.notice("end", id(3), "success", "three")
-	fmt.Println(s.hear())
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear())
-	t.rt.conn.Close()
-	fmt.Println("sync", t.rt.take())
-	t.rt.ready("steady")
-	fmt.Println(s.check(), len(t.rt.lines))
+	t.rt.Notice("end", standin.ID(3), "success", "three")
+	fmt.Println(s.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
+	t.rt.Conn.Close()
+	fmt.Println("sync", t.rt.Take())
+	t.rt.Ready("steady")
+	fmt.Println(s.Check(), len(t.rt.Lines))
 	// Output:
 	// start 1 route pay body ""
 	// start 2 route pay body "b"
@@ -178,20 +182,20 @@
 	t := up()
 	defer t.close()
 	s := t.stub()
-	s.send(op(1, "view", id(1), nil))
-	fmt.Println(t.rt.hear())
-	t.rt.conn.Close()
-	until("the end of the link", func() bool { return t.rt.hear() == "link closed" })
-	s.send([]any{2, "interrupt", []any{1}})
-	fmt.Println(s.check(), "sync", t.rt.take())
-	t.rt.ready("steady")
-	fmt.Println(t.rt.hear())
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(1), "interrupted", "")
-	s.send(op(2, "view", id(2), nil))
-	fmt.Println(t.rt.hear())
-	fmt.Fprintf(t.rt.conn, `{"t":"nack","status":"start","rid":%q}`+"\n", id(2))
-	fmt.Println(s.hear())
+	s.Send(standin.Op(1, "view", standin.ID(1), nil))
+	fmt.Println(t.rt.Hear())
+	t.rt.Conn.Close()
+	standin.Until("the end of the link", func() bool { return t.rt.Hear() == "link closed" })
+	s.Send([]any{2, "interrupt", []any{1}})
+	fmt.Println(s.Check(), "sync", t.rt.Take())
+	t.rt.Ready("steady")
+	fmt.Println(t.rt.Hear())
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "interrupted", "")
+	s.Send(standin.Op(2, "view", standin.ID(2), nil))
+	fmt.Println(t.rt.Hear())
+	fmt.Fprintf(t.rt.Conn, `{"t":"nack","status":"start","rid":%q}`+"\n", standin.ID(2))
+	fmt.Println(s.Hear())
 	// Output:
 	// start 1 route view body ""
 	// true sync 0
@@ -206,17 +210,17 @@
 	t := up()
 	defer t.close()
 	s, other := t.stub(), t.stub()
-	s.send(op(1, "pay", id(1), nil))
-	other.send(op(1, "view", id(2), nil))
-	fmt.Println(t.rt.hear())
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(1), "success", "one")
-	s.send([]any{2, "interrupt", []any{1}}, []any{2, "interrupt", []any{99}})
-	fmt.Println(s.hear())
-	other.close()
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(2), "success", "two")
-	fmt.Println(s.check())
+	s.Send(standin.Op(1, "pay", standin.ID(1), nil))
+	other.Send(standin.Op(1, "view", standin.ID(2), nil))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	s.Send([]any{2, "interrupt", []any{1}}, []any{2, "interrupt", []any{99}})
+	fmt.Println(s.Hear())
+	other.Close()
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(2), "success", "two")
+	fmt.Println(s.Check())
 	// Output:
 	// start 1 route pay body ""
 	// start 2 route view body ""
@@ -230,23 +234,23 @@
 	t := up()
 	defer t.close()
 	other := t.stub()
-	for i, bad := range [][]byte{{0xc1}, pack(nil, op(1, "view", id(50), nil)), pack(nil, op(2, "view", id(3), nil)),
+	for i, bad := range [][]byte{{0xc1}, standin.Pack(nil, standin.Op(1, "view", standin.ID(50), nil)), standin.Pack(nil, standin.Op(2, "view", standin.ID(3), nil)),
 		{0x94, 0, 2, 0xa4, 'v', 'i', 'e', 'w', 0x92, 0x81, 0xa2, 'i', 'd', 0xdb, 0x03, 0x90, 0, 0}} { // 60 MB to come
 		s := t.stub()
-		s.send(op(1, "view", id(i+1), nil))
-		fmt.Println(t.rt.hear())
-		s.conn.Write(bad)
-		fmt.Println(s.hear(), s.hear(), t.rt.hear())
-		t.rt.notice("end", id(i+1), "interrupted", "")
+		s.Send(standin.Op(1, "view", standin.ID(i+1), nil))
+		fmt.Println(t.rt.Hear())
+		s.Conn.Write(bad)
+		fmt.Println(s.Hear(), s.Hear(), t.rt.Hear())
+		t.rt.Notice("end", standin.ID(i+1), "interrupted", "")
 	}
 	s := t.stub()
 	var many [][]any
 	for i := range 33 {
-		many = append(many, op(i, "view", id(100+i), nil, "kb", "0.1"))
+		many = append(many, standin.Op(i, "view", standin.ID(100+i), nil, "kb", "0.1"))
 	}
-	s.send(many...)
-	until("the end of a crowd", func() bool { return strings.Contains(t.log.text(), "too-many-open") })
-	fmt.Println(other.check())
+	s.Send(many...)
+	standin.Until("the end of a crowd", func() bool { return strings.Contains(t.log.text(), "too-many-open") })
+	fmt.Println(other.Check())
 	t.terminate()
 	_, log := t.ended()
 	for _, code := range []string{"bad-message", "id-twice", "op-twice", "too-many-open"} {
@@ -275,31 +279,31 @@
 	t := up(`"tenants":[]`, `"tenants":[{"name":"acme"}]`)
 	defer t.close()
 	s, bad := t.stub(), t.stub()
-	s.send(op(1, "view", id(1), nil, "tenant", "acme"))
-	fmt.Println(t.rt.hear())
-	bad.send(op(1, "view", id(1), []byte("other"), "tenant", "acme"))
-	fmt.Println(bad.hear())
+	s.Send(standin.Op(1, "view", standin.ID(1), nil, "tenant", "acme"))
+	fmt.Println(t.rt.Hear())
+	bad.Send(standin.Op(1, "view", standin.ID(1), []byte("other"), "tenant", "acme"))
+	fmt.Println(bad.Hear())
 	for i, fields := range [][]string{{"tenant", "none"}, {"kb", "0"}, {"kb", "2000"}, {"rank", "1"},
 		{"from", "-1"}, {"from", "9007199254740992"}, {"cost", "99999999"}, {"wait", "999999999999"}} {
-		bad.send(op(i+2, "view", id(i+2), nil, append([]string{"tenant", "acme"}, fields...)...))
-		fmt.Print(" ", i, bad.hear())
+		bad.Send(standin.Op(i+2, "view", standin.ID(i+2), nil, append([]string{"tenant", "acme"}, fields...)...))
+		fmt.Print(" ", i, bad.Hear())
 	}
-	fmt.Println("", bad.hear())
+	fmt.Println("", bad.Hear())
 	for i := range 30 {
 		bad = t.stub()
-		bad.send(op(1, "view", id(100+i), nil, "tenant", "acme"))
-		t.rt.hear()
-		fmt.Fprintf(t.rt.conn, `{"t":"nack","status":"start","rid":%q}`+"\n", id(100+i))
+		bad.Send(standin.Op(1, "view", standin.ID(100+i), nil, "tenant", "acme"))
+		t.rt.Hear()
+		fmt.Fprintf(t.rt.Conn, `{"t":"nack","status":"start","rid":%q}`+"\n", standin.ID(100+i))
 		if i == 0 {
-			fmt.Print(bad.hear(), " ")
+			fmt.Print(bad.Hear(), " ")
 		}
-		until("its end", func() bool { return bad.hear() == "closed" })
+		standin.Until("its end", func() bool { return bad.Hear() == "closed" })
 	}
 	bad = t.stub()
-	bad.send(op(1, "what", id(1), nil))
-	fmt.Println(bad.hear(), s.check(), len(t.rt.lines))
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear(), strings.Contains(t.log.text(), "failing"))
+	bad.Send(standin.Op(1, "what", standin.ID(1), nil))
+	fmt.Println(bad.Hear(), s.Check(), len(t.rt.Lines))
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear(), strings.Contains(t.log.text(), "failing"))
 	// Output:
 	// start 1 route view body ""
 	// ['\x01' '\x01' ["Busy" map[]] <nil>]
@@ -314,14 +318,14 @@
 	defer t.close()
 	began := time.Now()
 	silent, half, asked := t.stub(), t.stub(), t.stub()
-	asked.send([]any{0, 1, "check", []any{map[string]string{}}})
-	asked.hear()
-	half.send(op(1, "view", id(1), nil, "cost", "900"))
-	fmt.Println(t.rt.hear())
-	message := pack(nil, op(2, "view", id(2), nil))
-	half.conn.Write(message[:len(message)/2])
-	fmt.Println(silent.hear(), half.hear(), half.hear())
-	fmt.Println(time.Since(began) < 2500*time.Millisecond, asked.check())
+	asked.Send([]any{0, 1, "check", []any{map[string]string{}}})
+	asked.Hear()
+	half.Send(standin.Op(1, "view", standin.ID(1), nil, "cost", "900"))
+	fmt.Println(t.rt.Hear())
+	message := standin.Pack(nil, standin.Op(2, "view", standin.ID(2), nil))
+	half.Conn.Write(message[:len(message)/2])
+	fmt.Println(silent.Hear(), half.Hear(), half.Hear())
+	fmt.Println(time.Since(began) < 2500*time.Millisecond, asked.Check())
 	// Output:
 	// start 1 route view body ""
 	// closed ['\x01' '\x01' ["Failed" map[]] <nil>] closed
@@ -332,16 +336,16 @@
 func Example_lateRuntime() {
 	t := open()
 	defer t.close()
-	fmt.Println(t.reported())
+	fmt.Println(t.roster.Reported())
 	s := t.stub()
-	fmt.Println(s.check())
-	s.send(op(7, "view", id(1), nil))
-	fmt.Println(s.hear())
-	fmt.Println("sync", t.rt.take())
-	t.rt.ready("booting")
-	until("health", func() bool { return s.check() })
+	fmt.Println(s.Check())
+	s.Send(standin.Op(7, "view", standin.ID(1), nil))
+	fmt.Println(s.Hear())
+	fmt.Println("sync", t.rt.Take())
+	t.rt.Ready("booting")
+	standin.Until("health", func() bool { return s.Check() })
 	began := time.Now()
-	fmt.Println(t.reported(), time.Since(began) < 1200*time.Millisecond)
+	fmt.Println(t.roster.Reported(), time.Since(began) < 1200*time.Millisecond)
 	// Output:
 	// HERE n1 on
 	// false
@@ -356,13 +360,13 @@
 	defer t.close()
 	s := t.stub()
 	at := func(off time.Duration) string { return fmt.Sprint(time.Now().Add(off).UnixMilli()) }
-	s.send(op(1, "view", id(1), nil, "at", at(time.Hour)), op(2, "view", id(2), nil, "at", at(-time.Hour)),
-		op(3, "view", id(3), nil, "at", "0"))
-	fmt.Println(t.rt.hear())
-	heard := map[string]bool{s.hear(): true, s.hear(): true}
+	s.Send(standin.Op(1, "view", standin.ID(1), nil, "at", at(time.Hour)), standin.Op(2, "view", standin.ID(2), nil, "at", at(-time.Hour)),
+		standin.Op(3, "view", standin.ID(3), nil, "at", "0"))
+	fmt.Println(t.rt.Hear())
+	heard := map[string]bool{s.Hear(): true, s.Hear(): true}
 	fmt.Println(heard)
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
 	// Output:
 	// start 1 route view body ""
 	// map[['\x01' '\x02' ["Busy" map[]] <nil>]:true ['\x01' '\x03' ["Busy" map[]] <nil>]:true]
@@ -376,41 +380,41 @@
 	defer t.close()
 	s := t.stub()
 	old := t.rt
-	s.send(op(1, "view", id(1), nil))
-	fmt.Println(old.hear())
+	s.Send(standin.Op(1, "view", standin.ID(1), nil))
+	fmt.Println(old.Hear())
 	text := t.moved()
 	t.write(text[:len(text)/2])
 	t.hangUp()
-	until("the half file", func() bool { return strings.Contains(t.log.text(), "msg=configuration-kept") })
-	s.send(op(2, "pay", id(2), nil))
-	fmt.Println(old.hear())
-	old.notice("end", id(2), "success", "two")
-	fmt.Println(s.hear())
+	standin.Until("the half file", func() bool { return strings.Contains(t.log.text(), "msg=configuration-kept") })
+	s.Send(standin.Op(2, "pay", standin.ID(2), nil))
+	fmt.Println(old.Hear())
+	old.Notice("end", standin.ID(2), "success", "two")
+	fmt.Println(s.Hear())
 	t.write(text)
-	fmt.Println("sync", t.rt.take()) // no ready yet, and it moves again
-	fmt.Println(old.hear())
+	fmt.Println("sync", t.rt.Take()) // no ready yet, and it moves again
+	fmt.Println(old.Hear())
 	first := t.rt
 	t.write(t.moved())
 	t.hangUp()
 	t.hangUp()
-	fmt.Println("sync", t.rt.take())
-	fmt.Println(first.hear())
-	t.rt.ready("steady")
-	fmt.Println(t.rt.hear()) // it may have been swallowed; nothing happens if it was not
-	t.rt.no = 1
-	t.rt.notice("wants", id(1), "", "ask")
-	t.db.next().reply("200 OK", "", "rows")
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear())
-	fmt.Println(t.reported())
+	fmt.Println("sync", t.rt.Take())
+	fmt.Println(first.Hear())
+	t.rt.Ready("steady")
+	fmt.Println(t.rt.Hear()) // it may have been swallowed; nothing happens if it was not
+	t.rt.No = 1
+	t.rt.Notice("wants", standin.ID(1), "", "ask")
+	t.db.Next().Reply("200 OK", "", "rows")
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
+	fmt.Println(t.roster.Reported())
 	t.terminate()
 	t.write(t.moved())
 	t.hangUp()
-	fmt.Println("sync", t.rt.take())
-	s.close()
+	fmt.Println("sync", t.rt.Take())
+	s.Close()
 	code, log := t.ended()
-	fmt.Println(code, strings.Count(log, "msg=configuration-kept"), strings.Count(log, `code="moved"`))
+	fmt.Println(code, strings.Count(log, "msg=configuration-kept"), strings.Count(log, "code=moved"))
 	// Output:
 	// start 1 route view body ""
 	// start 2 route pay body ""
@@ -432,18 +436,18 @@
 	t := up()
 	defer t.close()
 	s := t.stub()
-	s.send(op(1, "view", id(1), nil))
-	t.rt.hear()
+	s.Send(standin.Op(1, "view", standin.ID(1), nil))
+	t.rt.Hear()
 	t.terminate()
-	until("the roster is told", func() bool { return t.reported() == "HERE n1 off" })
+	standin.Until("the roster is told", func() bool { return t.roster.Reported() == "HERE n1 off" })
 	t.terminate()
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear())
-	s.send(op(2, "view", id(2), nil))
-	fmt.Println(t.rt.hear())
-	fmt.Println(s.hear())
-	fmt.Println(s.hear())
-	s.close()
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
+	s.Send(standin.Op(2, "view", standin.ID(2), nil))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(s.Hear())
+	fmt.Println(s.Hear())
+	s.Close()
 	code, log := t.ended()
 	fmt.Println(code, log[strings.LastIndex(log, "msg="):])
 	_, err := net.Dial("tcp", t.listen)
@@ -463,9 +467,9 @@
 	t := open()
 	defer t.close()
 	s := t.stub()
-	s.check()
+	s.Check()
 	t.terminate()
-	fmt.Println(s.hear(), s.hear())
+	fmt.Println(s.Hear(), s.Hear())
 	code, _ := t.ended()
 	fmt.Println(code)
 	// Output:
@@ -478,12 +482,12 @@
 	t := up("IDLE", "0.3")
 	defer t.close()
 	s := t.stub()
-	fmt.Println(s.hear())
-	s.send(op(1, "view", id(1), nil))
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear())
-	fmt.Println(s.hear())
+	fmt.Println(s.Hear())
+	s.Send(standin.Op(1, "view", standin.ID(1), nil))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
+	fmt.Println(s.Hear())
 	// Output:
 	// ['\x02' "goaway" []]
 	// start 1 route view body ""
@@ -497,19 +501,19 @@
 	t := up()
 	defer t.close()
 	s := t.stub()
-	s.send(op(1, "view", id(1), nil, "cost", "900"))
-	fmt.Println(t.rt.hear())
+	s.Send(standin.Op(1, "view", standin.ID(1), nil, "cost", "900"))
+	fmt.Println(t.rt.Hear())
 	asked := t.stub()
-	asked.check()
+	asked.Check()
 	for range 60 { // of 64 descriptors 40 are for stubs
 		t.stub()
 	}
 	late := t.stub()
-	late.send(op(1, "view", id(2), nil, "cost", "900"))
-	fmt.Println(t.rt.hear(), asked.check())
-	t.rt.notice("end", id(2), "success", "late")
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(late.hear(), s.hear())
+	late.Send(standin.Op(1, "view", standin.ID(2), nil, "cost", "900"))
+	fmt.Println(t.rt.Hear(), asked.Check())
+	t.rt.Notice("end", standin.ID(2), "success", "late")
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(late.Hear(), s.Hear())
 	fmt.Println(strings.Count(t.log.text(), "\n") < 30)
 	// Output:
 	// start 1 route view body ""
@@ -523,7 +527,7 @@
 	t := up()
 	defer t.close()
 	deaf, other := t.stub(), t.stub()
-	_ = deaf.conn.(*net.TCPConn).SetReadBuffer(4096)
+	_ = deaf.Conn.(*net.TCPConn).SetReadBuffer(4096)
 	result := strings.Repeat("x", 4096)
 	ended := func() bool { return strings.Contains(t.log.text(), "never-reads") }
 	for i := 0; !ended(); i++ {
@@ -532,14 +536,14 @@
 		}
 		var b []byte
 		for n := range 10 {
-			b = pack(b, op(10*i+n, "view", id(10*i+n), nil, "kb", "1", "cost", "900"))
+			b = standin.Pack(b, standin.Op(10*i+n, "view", standin.ID(10*i+n), nil, "kb", "1", "cost", "900"))
 		}
-		_, _ = deaf.conn.Write(b) // fails once the connection is lost
+		_, _ = deaf.Conn.Write(b) // fails once the connection is lost
 		for n := 0; n < 10 && !ended(); {
 			select {
-			case line := <-t.rt.lines:
+			case line := <-t.rt.Lines:
 				if line["t"] == "start" {
-					t.rt.notice("end", line["rid"].(string), "success", result)
+					t.rt.Notice("end", line["rid"].(string), "success", result)
 					n++
 				}
 			case <-time.After(50 * time.Millisecond): // the module nacked the rest of them
@@ -547,7 +551,7 @@
 			}
 		}
 	}
-	fmt.Println(other.check())
+	fmt.Println(other.Check())
 	// Output:
 	// true
 }
@@ -559,16 +563,16 @@
 	answered := 0
 	for i := range 500 {
 		s := t.stub()
-		defer s.close()
-		s.send(op(1, "view", id(i), nil, "kb", "1999"))
-		if strings.Contains(s.hear(), "Busy") {
+		defer s.Close()
+		s.Send(standin.Op(1, "view", standin.ID(i), nil, "kb", "1999"))
+		if strings.Contains(s.Hear(), "Busy") {
 			answered++
 		}
 	}
-	fmt.Println(answered, t.stub().check())
-	status := string(must(os.ReadFile(fmt.Sprintf("/proc/%d/status", t.cmd.Process.Pid))))
+	fmt.Println(answered, t.stub().Check())
+	status := string(standin.Must(os.ReadFile(fmt.Sprintf("/proc/%d/status", t.cmd.Process.Pid))))
 	_, peak, _ := strings.Cut(status, "VmHWM:")
-	kb := must(strconv.Atoi(strings.Fields(peak)[0]))
+	kb := standin.Must(strconv.Atoi(strings.Fields(peak)[0]))
 	fmt.Println("under 96 MB:", kb < 96<<10)
 	// Output:
 	// 500 true
@@ -580,12 +584,12 @@
 	t := up(`"deep-checks":true`, `"deep-checks":true,"readiness":true`)
 	defer t.close()
 	s := t.stub()
-	s.send(op(1, "pay", id(1), nil, "cost", "1")) // a run that hangs
-	fmt.Println(t.rt.hear())
-	until("off", func() bool { return t.reported() == "HERE n1 off" })
-	t.rt.notice("end", id(1), "success", "late")
-	fmt.Println(s.hear())
-	until("on", func() bool { return t.reported() == "HERE n1 on" })
+	s.Send(standin.Op(1, "pay", standin.ID(1), nil, "cost", "1")) // a run that hangs
+	fmt.Println(t.rt.Hear())
+	standin.Until("off", func() bool { return t.roster.Reported() == "HERE n1 off" })
+	t.rt.Notice("end", standin.ID(1), "success", "late")
+	fmt.Println(s.Hear())
+	standin.Until("on", func() bool { return t.roster.Reported() == "HERE n1 on" })
 	// Output:
 	// start 1 route pay body ""
 	// ['\x01' '\x01' <nil> ["late" map[]]]
@@ -596,15 +600,15 @@
 	t := up("FRESH", "5")
 	defer t.close()
 	s := t.stub()
-	s.send(op(1, "view", id(1), nil, "key", "k"), op(2, "view", id(2), nil, "key", "k"), op(3, "view", id(3), nil, "key", "l"))
-	fmt.Println(t.rt.hear())
-	fmt.Println(t.rt.hear())
-	t.rt.notice("end", id(1), "success", "one")
-	fmt.Println(s.hear())
-	fmt.Println(s.hear())
-	s.send(op(4, "view", id(4), nil, "key", "k"))
-	fmt.Println(s.hear())
-	fmt.Println(s.check(), len(t.rt.lines))
+	s.Send(standin.Op(1, "view", standin.ID(1), nil, "key", "k"), standin.Op(2, "view", standin.ID(2), nil, "key", "k"), standin.Op(3, "view", standin.ID(3), nil, "key", "l"))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
+	fmt.Println(s.Hear())
+	s.Send(standin.Op(4, "view", standin.ID(4), nil, "key", "k"))
+	fmt.Println(s.Hear())
+	fmt.Println(s.Check(), len(t.rt.Lines))
 	// Output:
 	// start 1 route view body ""
 	// start 3 route view body ""
@@ -616,26 +620,92 @@
 
 // A start that can't be: one line that says why, and a code that is not 0.
 func Example_badStart() {
-	taken := must(net.Listen("tcp", "127.0.0.1:0"))
+	taken := standin.Must(net.Listen("tcp", "127.0.0.1:0"))
 	defer taken.Close()
 	good := fmt.Sprintf(`{"name":"n1","listen":%q,"runtime":"127.0.0.1:1","roster":"127.0.0.1:1","db":"127.0.0.1:1",`+
-		`"limits":{"cores":1,"memory_mb":192,"sockets":64},"settings":%s}`, taken.Addr(), strings.NewReplacer("IDLE", "1", "FRESH", "0").Replace(settings))
+		`"limits":{"cores":1,"memory_mb":192,"sockets":64},"settings":%s}`, taken.Addr(), strings.NewReplacer("IDLE", "1", "FRESH", "0").Replace(standin.Settings))
 	for _, text := range []string{`{"name":`, `{}`, strings.Replace(good, `"cores":1`, `"cores":0`, 1),
 		strings.Replace(good, `"cpus":2`, `"cpus":"two"`, 1), strings.Replace(good, `"settings"`, `"other"`, 1), good} {
 		t := &town{log: &lines{}, exit: make(chan struct{})}
 		t.start(text)
 		code, log := t.ended()
 		log = strings.ReplaceAll(log, taken.Addr().String(), "ADDR")
-		if _, after, found := strings.Cut(log, ".json: "); found {
+		if _, after, found := strings.Cut(log, ".json:"); found {
 			log = after
 		}
 		fmt.Println(code, strings.Count(log, "\n"), log)
 	}
 	// Output:
-	// 1 0 cannot parse JSON: cannot parse object: cannot parse object value: cannot parse empty string; unparsed tail: \"\""
-	// 1 0 name: wants text"
-	// 1 0 limits.cores: wants a number over 0"
-	// 1 0 settings: [domain cpus]: is a string, which is the wrong type"
-	// 1 0 settings: wants an object"
+	// 1 0  cannot parse JSON: cannot parse object: cannot parse object value: cannot parse empty string; unparsed tail: \"\""
+	// 1 0  name: wants text" more=8
+	// 1 0 1: limits.cores: is \"0\", wants a number over 0"
+	// 1 0 6: settings.domain.cpus: is \"two\", wants another type than string"
+	// 1 0  settings: wants an object"
 	// 1 0 msg=cannot-start err="listen tcp ADDR: bind: address already in use"
 }
+
+// run gives the exit code and all that the program prints for a command line.
+func run(args ...string) string {
+	cmd := exec.Command(binary_, args...)
+	cmd.Env = []string{"TMPDIR=" + folder}
+	out, _ := cmd.CombinedOutput()
+	return fmt.Sprintf("%d %s", cmd.ProcessState.ExitCode(), strings.ReplaceAll(string(out), folder+"/", ""))
+}
+
+// The command line: help on every level, files checked with each fault in its place, a wrong word told from a wrong file.
+func Example_commandLine() {
+	for _, args := range [][]string{{"--help"}, {"check", "--help"}, {"try", "--help"}} {
+		text := run(args...)
+		fmt.Println(args, text[:2], strings.Contains(text, "Usage: lanewheel"))
+	}
+	fmt.Println(run("chekc")[:1])
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			panic(err)
+		}
+		return path
+	}
+	fmt.Print(run("check", write("good.ini", "; a comment\n[log]\nformat = json\n")))
+	fmt.Print(run("check", write("bad.ini", "[log]\nformat = xml\nformt = text\n\n[lgo]\n[log]\n")))
+	fmt.Print(run("check", write("bad.json", "{\"name\":\"n1\",\n\"listen\":\"127.0.0.1:1\",\"runtime\":\"r\",\"db\":\"d\",\n"+
+		"\"limits\":{\"cores\":-1,\n\"memory_mb\":3},\"settings\":{\"classes\":[{\"name\":\"view\"},\n{\"credit\":\"x\"}]}}")))
+	// Output:
+	// [--help] 0  true
+	// [check --help] 0  true
+	// [try --help] 0  true
+	// 2
+	// 0 good.ini: good
+	// 1 bad.ini:2: log.format: is "xml", wants one of json, text
+	// bad.ini:3: log.formt: is no name of this section; wants format
+	// bad.ini:5: lgo: is no section; wants log
+	// bad.ini:6: log: stands in line 1 already
+	// 1 bad.json: roster: wants text
+	// bad.json:3: limits.cores: is "-1", wants a number over 0
+	// bad.json:3: limits.sockets: wants a number of 32 or more
+	// bad.json:4: settings.domain.cpus: wants a number of 1 or more
+	// bad.json:5: settings.classes.1.credit: is "x", wants another type than string
+}
+
+// A newcomer's first command: it starts, serves, ends with its table, and all that was asked is in it.
+func Example_try() {
+	text := run("try", "--for", "1s", "--rate", "100", "--mean", "1ms")
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	fmt.Println(text[:2], strings.Contains(text, "an instance serves at 127.0.0.1:"))
+	for _, line := range lines {
+		if f := strings.Fields(line); len(f) == 9 && f[0] != "op" {
+			n := map[string]int{}
+			for i, name := range []string{"asked", "acked", "nacked", "failed", "denied", "unanswered"} {
+				n[name] = standin.Must(strconv.Atoi(f[i+1]))
+			}
+			fmt.Println(f[0], n["asked"] > 10, n["unanswered"], n["asked"] == n["acked"]+n["nacked"]+n["failed"]+n["denied"])
+		}
+	}
+	fmt.Println(strings.HasPrefix(lines[len(lines)-1], "CPU of the instance: "))
+	// Output:
+	// 0  true
+	// view true 0 true
+	// pay true 0 true
+	// list true 0 true
+	// true
+}
--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+
+	"lanewheel/internal/fault"
+	"lanewheel/internal/life"
+	"lanewheel/internal/operator"
+)
+
+// checkCommand reads a file as an instance would, and says all that is wrong with it.
+type checkCommand struct {
+	Files []string `arg:"" name:"file" help:"Configurations, which begin with a brace, or operator's files." type:"path"`
+}
+
+func (c *checkCommand) Run(o output) error {
+	failed := false
+	for _, path := range c.Files {
+		err := check(path)
+		var all fault.List
+		switch {
+		case err == nil:
+			fmt.Fprintf(o.out, "%s: good\n", path)
+			continue
+		case errors.As(err, &all):
+			for _, f := range all {
+				fmt.Fprintln(o.out, f)
+			}
+		default:
+			fmt.Fprintf(o.out, "%s: %v\n", path, err)
+		}
+		failed = true
+	}
+	if failed {
+		return errSaid
+	}
+	return nil
+}
+
+func check(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fault.List{{File: path, Want: "can't be read: " + err.Error()}}
+	}
+	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
+		_, err = life.Tell(path)
+		return err
+	}
+	_, err = operator.Load(path)
+	return err
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,87 @@
+// Package command is the command line: one file a sub-command. It parses, prints and gives an exit code.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"lanewheel/internal/fault"
+	"lanewheel/internal/life"
+)
+
+// line is the whole command line.
+type line struct {
+	Serve serveCommand `cmd:"" default:"withargs" help:"Serve as one instance: the same as with no arguments."`
+	Check checkCommand `cmd:"" help:"Read a configuration (JSON) or an operator's file (INI) and say all that is wrong."`
+	Try   tryCommand   `cmd:"" help:"Run an instance among stand-ins for all it speaks to, under a load of client stubs."`
+}
+
+// output is what a sub-command prints to.
+type output struct{ out, err io.Writer }
+
+// errSaid ends a command with 1 whose faults are printed already.
+var errSaid = errors.New("said")
+
+// Main carries a command line out and gives the exit code: 0 done, 1 failed or something is wrong, 2 a command line
+// that can't be read. With no arguments it serves; the platform starts it so, and the parser is not even built then.
+func Main(args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		return serve("", "")
+	}
+	var l line
+	code := -1
+	parser, err := kong.New(&l, kong.Name("lanewheel"), kong.Writers(out, errs), kong.Exit(func(c int) { code = c }),
+		kong.Description("Admission and scheduling decisions for servers behind other people's balancers."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.UsageOnError())
+	if err != nil {
+		panic(err) // the tags above are wrong, which every run would show
+	}
+	at, err := parser.Parse(args)
+	if code >= 0 { // it has shown its help
+		return code
+	}
+	if err != nil {
+		fmt.Fprintf(errs, "lanewheel: %v; see lanewheel --help\n", err)
+		return 2
+	}
+	switch err := at.Run(output{out, errs}); {
+	case err == nil:
+		return 0
+	case errors.Is(err, errSaid):
+		return 1
+	default:
+		fmt.Fprintf(errs, "lanewheel: %v\n", err)
+		return 1
+	}
+}
+
+// serveCommand is one instance, as the platform starts it.
+type serveCommand struct {
+	Operator string `help:"Operator's file (INI); read again at SIGHUP." placeholder:"FILE" type:"path"`
+	Log      string `help:"Form of the log: text or json. Without it the operator's file says." enum:"text,json," default:""`
+}
+
+func (c *serveCommand) Run() error {
+	if serve(c.Operator, c.Log) != 0 {
+		return errSaid
+	}
+	return nil
+}
+
+func serve(operated, format string) int {
+	if err := life.Live(os.Getenv("RELAY_CONFIG"), operated, format); err != nil {
+		var all fault.List
+		if errors.As(err, &all) && len(all) > 1 {
+			slog.Error("cannot-start", "err", all[0], "more", len(all)-1)
+		} else {
+			slog.Error("cannot-start", "err", err)
+		}
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/command/try.go
@@ -0,0 +1,327 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lanewheel/internal/standin"
+)
+
+// tryCommand runs an instance with nothing else running.
+type tryCommand struct {
+	For      time.Duration `help:"How long the load goes on." default:"10s"`
+	Rate     float64       `help:"Ops a second, of all types together." default:"200"`
+	Stubs    int           `help:"Client stubs, a connection each." default:"8"`
+	Mean     time.Duration `help:"What a run takes on average on one of the runtime's two cores." default:"5ms"`
+	Seed     uint64        `help:"For chance: the same seed gives the same load." default:"1"`
+	Operator string        `help:"Operator's file for the instance." placeholder:"FILE" type:"path"`
+	Token    string        `help:"File with a token that the stubs bring." placeholder:"FILE" type:"path"`
+	Log      string        `help:"File for the instance's log; without it, a file that is removed if all went well." placeholder:"FILE" type:"path"`
+}
+
+// tried is what became of the ops of one type.
+type tried struct {
+	asked, acked, nacked, failed, denied, lost int
+	took                                       *hdrhistogram.Histogram // µs of the acked
+}
+
+// trial is the load as it goes.
+type trial struct {
+	mu    sync.Mutex
+	kinds map[string]*tried
+	whys  map[string]int // denials by their word
+}
+
+var triedTypes = []string{"view", "pay", "list"}
+
+func (c *tryCommand) Run(o output) (failed error) {
+	if c.Rate <= 0 || c.For <= 0 || c.Stubs <= 0 {
+		return errors.New("--rate, --for and --stubs want more than 0")
+	}
+	folder, err := os.MkdirTemp("", "lanewheel-try")
+	if err != nil {
+		return err
+	}
+	logged := c.Log
+	if logged == "" {
+		logged = filepath.Join(folder, "log")
+	}
+	defer func() {
+		if failed != nil && c.Log == "" {
+			fmt.Fprintf(o.out, "the instance's log is %s\n", logged)
+			return
+		}
+		os.RemoveAll(folder)
+	}()
+	var token string
+	if c.Token != "" {
+		text, err := os.ReadFile(c.Token)
+		if err != nil {
+			return err
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	rt, db, roster := standin.NewRuntime(), standin.NewDatabase(), standin.NewRoster()
+	defer rt.Listener.Close()
+	defer db.Listener.Close()
+	defer roster.Close()
+	db.Work()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	listen := free.Addr().String()
+	free.Close()
+	config := filepath.Join(folder, "config.json")
+	settings := strings.NewReplacer("IDLE", "30", "FRESH", "0", `"memory-kb":1900`, `"memory-kb":190000`).Replace(standin.Settings)
+	text := fmt.Sprintf(`{"name":"try","listen":%q,"runtime":%q,"roster":%q,"db":%q,"seed":"%x","stop_ms":1500,`+
+		`"limits":{"cores":1,"memory_mb":192,"sockets":512},"settings":%s}`, listen, rt.Addr(), roster.Addr(), db.Addr(), c.Seed, settings)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(logged)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	args := []string{"serve"}
+	if c.Operator != "" {
+		args = append(args, "--operator", c.Operator)
+	}
+	child := exec.Command(self, args...)
+	child.Env = append(os.Environ(), "RELAY_CONFIG="+config)
+	child.Stdout, child.Stderr = log, log
+	if err := child.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- child.Wait() }()
+	up := make(chan struct{})
+	go func() {
+		defer func() { _ = recover() }() // it never came: the child's end tells why
+		rt.Take()
+		rt.Ready("steady")
+		rt.Work(2, c.Mean, c.Seed, nil)
+		close(up)
+	}()
+	select {
+	case <-up:
+	case <-ended:
+		said, _ := os.ReadFile(logged)
+		return fmt.Errorf("the instance did not start:\n%s", said)
+	case <-time.After(2 * standin.Patience):
+		_ = child.Process.Kill()
+		return errors.New("the instance does not come up")
+	}
+	fmt.Fprintf(o.out, "an instance serves at %s, %g ops a second for %v\n", listen, c.Rate, c.For)
+	t := &trial{kinds: map[string]*tried{}, whys: map[string]int{}}
+	for _, kind := range triedTypes {
+		t.kinds[kind] = &tried{took: hdrhistogram.New(1, 60e6, 3)} // 1 µs to a minute
+	}
+	began, spent := time.Now(), childCPU(child.Process.Pid)
+	done := make(chan struct{})
+	go t.progress(o.out, began, done)
+	t.load(c, listen, token)
+	spent = childCPU(child.Process.Pid) - spent
+	close(done)
+	_ = child.Process.Signal(syscall.SIGTERM)
+	select {
+	case err = <-ended:
+	case <-time.After(standin.Patience):
+		_ = child.Process.Kill()
+		err = errors.New("it does not end after SIGTERM")
+	}
+	t.table(o.out, spent)
+	if err != nil {
+		return fmt.Errorf("the instance: %w", err)
+	}
+	return nil
+}
+
+// load asks at the told rate, each stub its part, whatever comes back: an open loop.
+func (t *trial) load(c *tryCommand, listen, token string) {
+	var all sync.WaitGroup
+	for k := range c.Stubs {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			t.stub(c, k, listen, token)
+		}()
+	}
+	all.Wait()
+}
+
+func (t *trial) stub(c *tryCommand, k int, listen, token string) {
+	defer func() { _ = recover() }() // a connection that is closed on it is in the table, as lost
+	chance := rand.New(rand.NewPCG(c.Seed, uint64(k)))
+	s := standin.Dial(listen)
+	defer s.Close()
+	type asked struct {
+		kind string
+		at   time.Time
+	}
+	var mu sync.Mutex
+	open := map[int]asked{}
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		for {
+			a, err := s.Answer()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			ask, known := open[a.N]
+			delete(open, a.N)
+			mu.Unlock()
+			if known {
+				t.answered(ask.kind, time.Since(ask.at), a)
+			}
+		}
+	}()
+	gap := float64(c.Stubs) / c.Rate * float64(time.Second)
+	began := time.Now()
+	at := time.Duration(0)
+	for n := 1; ; n++ {
+		at += time.Duration(chance.ExpFloat64() * gap)
+		if at >= c.For {
+			break
+		}
+		time.Sleep(time.Until(began.Add(at)))
+		kind := triedTypes[chance.IntN(len(triedTypes))]
+		more := []string{"from", fmt.Sprint(k), "kb", "1", "rank", fmt.Sprintf("%.3f", chance.Float64()),
+			"cost", fmt.Sprint(c.Mean.Milliseconds())}
+		if token != "" {
+			more = append(more, "token", token)
+		}
+		mu.Lock()
+		full := len(open) >= 32 // the protocol's bound
+		if !full {
+			open[n] = asked{kind, time.Now()}
+		}
+		mu.Unlock()
+		t.mu.Lock()
+		t.kinds[kind].asked++
+		if full {
+			t.kinds[kind].lost++
+		}
+		t.mu.Unlock()
+		if !full {
+			s.Send(standin.Op(n, kind, fmt.Sprintf("%08x%08x", k, n), []byte("body"), more...))
+		}
+	}
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) { // the op timeout
+		mu.Lock()
+		left := len(open)
+		mu.Unlock()
+		if left == 0 {
+			break
+		}
+	}
+	s.Close()
+	<-over
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, ask := range open {
+		t.kinds[ask.kind].lost++
+	}
+}
+
+func (t *trial) answered(kind string, took time.Duration, a standin.Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.kinds[kind]
+	switch a.Error {
+	case "":
+		k.acked++
+		_ = k.took.RecordValue(max(1, took.Microseconds()))
+	case "Busy":
+		k.nacked++
+	case "Denied":
+		k.denied++
+		t.whys[fmt.Sprint(a.Fields["why"])]++
+	default:
+		k.failed++
+	}
+}
+
+// progress leaves a line a second.
+func (t *trial) progress(out io.Writer, began time.Time, done chan struct{}) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		t.mu.Lock()
+		var sum tried
+		for _, k := range t.kinds {
+			sum.asked += k.asked
+			sum.acked += k.acked
+			sum.nacked += k.nacked
+			sum.failed += k.failed
+			sum.denied += k.denied
+		}
+		t.mu.Unlock()
+		fmt.Fprintf(out, "%3.0fs asked %d acked %d nacked %d failed %d denied %d\n", time.Since(began).Seconds(),
+			sum.asked, sum.acked, sum.nacked, sum.failed, sum.denied)
+	}
+}
+
+func (t *trial) table(out io.Writer, spent time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "op type\tasked\tacked\tnacked\tfailed\tdenied\tunanswered\tmedian ms\t99th ms\t")
+	asked := 0
+	for _, kind := range triedTypes {
+		k := t.kinds[kind]
+		asked += k.asked
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", kind, k.asked, k.acked, k.nacked, k.failed, k.denied, k.lost,
+			float64(k.took.ValueAtQuantile(50))/1e3, float64(k.took.ValueAtQuantile(99))/1e3)
+	}
+	w.Flush()
+	for _, why := range slices.Sorted(maps.Keys(t.whys)) {
+		fmt.Fprintf(out, "denied %s: %d\n", why, t.whys[why])
+	}
+	if asked > 0 {
+		fmt.Fprintf(out, "CPU of the instance: %.0f µs an op\n", float64(spent.Microseconds())/float64(asked))
+	}
+}
+
+// childCPU is what a process has used so far, in the kernel's ticks of 10 ms; 0 where /proc does not tell.
+func childCPU(pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) < 13 {
+		return 0
+	}
+	var user, system int64
+	fmt.Sscan(fields[11], &user)
+	fmt.Sscan(fields[12], &system)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"math"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -12,7 +15,7 @@
 	"lanewheel/choice"
 )
 
-// reader turns one value of the start message into ours, nil if it is of the wrong type.
+// reader turns one value of the start message into ours, nil if it is of the wrong type; a list tells what is Wrong in it.
 type reader func(*fastjson.Value) any
 
 // fact is one translated name; path is where it stands on the wire.
@@ -100,39 +103,70 @@
 	return names
 }
 
-// Read translates the settings; without cores or op types there is nothing to decide on.
+// Read translates the settings; without cores or op types there is nothing to decide on. The error is the first Wrong.
 func Read(told *fastjson.Value) (choice.Facts, error) {
-	facts, err := translate(told, startNames)
-	if err != nil {
-		return nil, err
+	facts, wrong := Check(told)
+	if len(wrong) > 0 {
+		return nil, wrong[0]
+	}
+	return facts, nil
+}
+
+// Wrong is a setting that can't be used: where it stands, what was read there and what is wanted.
+type Wrong struct {
+	Path []string
+	Got  string
+	Want string
+}
+
+func (w Wrong) Error() string {
+	if w.Got == "" {
+		return fmt.Sprintf("%s: %s", strings.Join(w.Path, "."), w.Want)
+	}
+	return fmt.Sprintf("%v: is a %s, which is the wrong type", w.Path, w.Got)
+}
+
+// Check translates the settings and tells all that is wrong with them.
+func Check(told *fastjson.Value) (choice.Facts, []Wrong) {
+	facts, wrong := translate(told, startNames)
+	absent := func(ours, want string, path ...string) {
+		if _, there := facts[ours]; there || told.Get(path...) == nil { // else it has been told as wrong already
+			wrong = append(wrong, Wrong{Path: path, Want: want})
+		}
 	}
 	if cores, told := facts["cores"].(float64); !told || cores < 1 {
-		return nil, fmt.Errorf("domain.cpus: wants a number of 1 or more")
+		absent("cores", "wants a number of 1 or more", "domain", "cpus")
 	}
 	if types, told := facts["op types"].([]choice.Facts); !told || len(types) == 0 {
-		return nil, fmt.Errorf("classes: wants a list that is not empty")
+		absent("op types", "wants a list that is not empty", "classes")
 	}
-	return facts, nil
+	return facts, wrong
 }
 
 // translate picks the named values out of an object. Absent and unknown ones are passed over.
-func translate(from *fastjson.Value, names []fact) (choice.Facts, error) {
+func translate(from *fastjson.Value, names []fact) (choice.Facts, []Wrong) {
 	facts := choice.Facts{}
+	var wrong []Wrong
 	for _, n := range names {
 		v := from.Get(n.path...)
 		if v == nil || v.Type() == fastjson.TypeNull {
 			continue
 		}
 		got := n.read(v)
-		if err, bad := got.(error); bad {
-			return nil, fmt.Errorf("%v: %w", n.path, err)
+		if inside, bad := got.([]Wrong); bad {
+			for _, w := range inside {
+				w.Path = append(slices.Clone(n.path), w.Path...)
+				wrong = append(wrong, w)
+			}
+			continue
 		}
 		if got == nil {
-			return nil, fmt.Errorf("%v: is a %s, which is the wrong type", n.path, v.Type())
+			wrong = append(wrong, Wrong{Path: n.path, Got: v.Type().String(), Want: "wants another type than " + v.Type().String()})
+			continue
 		}
 		facts[n.name] = got
 	}
-	return facts, nil
+	return facts, wrong
 }
 
 func list(names []fact) reader {
@@ -142,19 +176,24 @@
 			return nil
 		}
 		out := []choice.Facts{}
-		for _, item := range items {
+		var wrong []Wrong
+		for i, item := range items {
 			if item.Type() != fastjson.TypeObject {
 				return nil
 			}
-			one, err := translate(item, names)
-			if err != nil {
-				return err
+			one, inside := translate(item, names)
+			if _, named := one["name"]; !named && len(inside) == 0 {
+				inside = []Wrong{{Path: []string{"name"}, Want: "wants text"}}
 			}
-			if _, named := one["name"]; !named {
-				return fmt.Errorf("an item has no name")
+			for _, w := range inside {
+				w.Path = append([]string{strconv.Itoa(i)}, w.Path...)
+				wrong = append(wrong, w)
 			}
 			out = append(out, one)
 		}
+		if len(wrong) > 0 {
+			return wrong
+		}
 		return out
 	}
 }
--- a/internal/keep/health.go
+++ b/internal/keep/health.go
@@ -1,7 +1,7 @@
 package keep
 
 import (
-	"log"
+	"log/slog"
 	"time"
 
 	"lanewheel/internal/wire"
@@ -57,7 +57,7 @@
 	if in.health.roster == nil {
 		r, err := wire.NewRoster(in.told.Roster, in.told.Name)
 		if err != nil {
-			log.Printf("msg=no-roster err=%q", err)
+			slog.Warn("no-roster", "err", err)
 			return
 		}
 		in.health.roster = r
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -4,7 +4,7 @@
 package keep
 
 import (
-	"log"
+	"log/slog"
 	"math"
 	"time"
 
@@ -303,7 +303,7 @@
 }
 func (in *Instance) Signal(level float64)       { in.say = level }
 func (in *Instance) IdleFor(span time.Duration) { in.idle = span }
-func (in *Instance) Note(line string)           { log.Printf("msg=note text=%q", line) }
+func (in *Instance) Note(line string)           { slog.Info("note", "text", line) }
 
 func (in *Instance) Wake(at time.Duration, then func(map[string]float64)) {
 	in.At(at, func() {
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -1,7 +1,7 @@
 package keep
 
 import (
-	"log"
+	"log/slog"
 	"time"
 )
 
@@ -9,7 +9,7 @@
 func (in *Instance) Move(told Told) {
 	before := in.told
 	in.told.Runtime, in.told.Database, in.told.Roster = told.Runtime, told.Database, told.Roster
-	log.Printf("msg=moved runtime=%s db=%s roster=%s", told.Runtime, told.Database, told.Roster)
+	slog.Info("moved", "runtime", told.Runtime, "db", told.Database, "roster", told.Roster)
 	if told.Runtime != before.Runtime {
 		in.runtime.backoff = 0
 		in.connect()
@@ -28,7 +28,7 @@
 	}
 	in.leaving = true
 	killAt := in.now + in.told.Stop
-	log.Printf("msg=leaving kill_ms=%d held=%d", in.told.Stop.Milliseconds(), len(in.ops))
+	slog.Info("leaving", "kill_ms", in.told.Stop.Milliseconds(), "held", len(in.ops))
 	in.report()
 	if in.desk == nil { // nothing was ever taken in
 		in.part(in.now)
@@ -60,7 +60,7 @@
 		for _, c := range in.stubs {
 			c.close("stopped")
 		}
-		log.Printf("msg=stopped connections=%d ops=%d", len(in.stubs), len(in.ops))
+		slog.Info("stopped", "connections", len(in.stubs), "ops", len(in.ops))
 		in.over = true
 		return
 	}
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -1,7 +1,7 @@
 package keep
 
 import (
-	"log"
+	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
@@ -122,13 +122,13 @@
 		in.refused(n)
 	case "info":
 	default:
-		log.Printf("msg=unknown-notice kind=%q", n.Kind)
+		slog.Warn("unknown-notice", "kind", n.Kind)
 	}
 }
 
 // ready opens the module when the runtime comes up, and sets the fence on each link.
 func (in *Instance) ready(n wire.Notice) {
-	log.Printf("msg=ready state=%s runtime_up_ms=%d", n.Status, n.Took.Milliseconds())
+	slog.Info("ready", "state", n.Status, "runtime_up_ms", n.Took.Milliseconds())
 	if in.desk == nil {
 		in.told.Facts["just started"] = n.Status == "booting"
 		now := in.now
@@ -234,7 +234,7 @@
 	}
 	how, known := ends[n.Status]
 	if !known {
-		log.Printf("msg=unknown-end status=%q", n.Status)
+		slog.Warn("unknown-end", "status", n.Status)
 		how = choice.Failed
 	}
 	r := o.run
@@ -260,7 +260,7 @@
 func (in *Instance) refused(n wire.Notice) {
 	o := in.ops[choice.OpID(n.ID)]
 	if o == nil || o.run == nil || o.run.heard || n.Status != "start" {
-		log.Printf("msg=command-refused command=%s op=%s", n.Status, n.ID)
+		slog.Warn("command-refused", "command", n.Status, "op", n.ID)
 		return
 	}
 	c := o.stub
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -2,35 +2,37 @@
 package life
 
 import (
-	"errors"
-	"fmt"
-	"hash/fnv"
-	"log"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
-	"github.com/valyala/fastjson"
-
-	"lanewheel/internal/facts"
 	"lanewheel/internal/keep"
+	"lanewheel/internal/logline"
+	"lanewheel/internal/operator"
 )
 
-// Live starts the instance that the environment tells of and serves until it is told to go.
-func Live() error {
-	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
+// Live starts the instance that the configuration at path and the operator's file, if one is named, tell of, and serves
+// until it is told to go. format is text or json; empty, the operator's file says.
+func Live(path, operated, format string) error {
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP) // before all else: untold, either would end us
-	path := os.Getenv("RELAY_CONFIG")
-	told, err := tell(path)
+	logline.Start(os.Stderr, format)
+	told, err := Tell(path)
 	if err != nil {
 		return err
 	}
+	file, err := operator.Load(operated)
+	if err != nil {
+		return err
+	}
+	if format == "" {
+		logline.Start(os.Stderr, file.Log.Format)
+	}
 	// One processor for each core told, and no more: a second one on a part of a core wakes and sleeps for each message.
 	runtime.GOMAXPROCS(int(math.Ceil(told.Cores)))
 	// Half the limit: the rest is for what the kernel and the binary itself take.
@@ -40,7 +42,7 @@
 		return err
 	}
 	go heed(in, signals, path)
-	log.Printf("msg=listening name=%s addr=%s", told.Name, told.Listen)
+	slog.Info("listening", "name", told.Name, "addr", told.Listen)
 	in.Serve()
 	return nil
 }
@@ -63,68 +65,15 @@
 		case <-again:
 		}
 		again = nil
-		told, err := tell(path)
+		told, err := Tell(path)
 		if err == nil {
 			in.Hand(func() { in.Move(told) })
 			continue
 		}
 		if wait == 0 {
-			log.Printf("msg=configuration-kept err=%q", err)
+			slog.Warn("configuration-kept", "err", err)
 		}
 		wait = min(max(2*wait, soon), seldom)
 		again = time.After(wait)
 	}
 }
-
-// tell reads the configuration.
-func tell(path string) (keep.Told, error) {
-	var told keep.Told
-	if path == "" {
-		return told, errors.New("RELAY_CONFIG is not set")
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return told, err
-	}
-	v, err := fastjson.ParseBytes(text)
-	if err != nil {
-		return told, fmt.Errorf("%s: %w", path, err)
-	}
-	for _, text := range []struct {
-		name string
-		to   *string
-	}{{"name", &told.Name}, {"listen", &told.Listen}, {"runtime", &told.Runtime}, {"db", &told.Database},
-		{"roster", &told.Roster}} {
-		if *text.to = string(v.GetStringBytes(text.name)); *text.to == "" {
-			return told, fmt.Errorf("%s: %s: wants text", path, text.name)
-		}
-	}
-	for _, limit := range []struct {
-		name string
-		to   *float64
-	}{{"cores", &told.Cores}, {"memory_mb", &told.MemoryMB}} {
-		if *limit.to = v.GetFloat64("limits", limit.name); *limit.to <= 0 {
-			return told, fmt.Errorf("%s: limits.%s: wants a number over 0", path, limit.name)
-		}
-	}
-	if told.Sockets = v.GetInt("limits", "sockets"); told.Sockets < 32 {
-		return told, fmt.Errorf("%s: limits.sockets: wants a number of 32 or more", path)
-	}
-	told.Stop = time.Duration(v.GetFloat64("stop_ms") * float64(time.Millisecond))
-	seed := string(v.GetStringBytes("seed"))
-	if told.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
-		h := fnv.New64a()
-		h.Write([]byte(seed))
-		told.Seed = h.Sum64()
-	}
-	settings := v.Get("settings")
-	if settings == nil {
-		return told, fmt.Errorf("%s: settings: wants an object", path)
-	}
-	if told.Facts, err = facts.Read(settings); err != nil {
-		return told, fmt.Errorf("%s: settings: %w", path, err)
-	}
-	told.Gauges = facts.Gauges(settings)
-	told.Readiness = settings.GetBool("domain", "readiness")
-	return told, nil
-}
--- /dev/null
+++ b/internal/life/told.go
@@ -0,0 +1,92 @@
+package life
+
+import (
+	"hash/fnv"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"lanewheel/internal/facts"
+	"lanewheel/internal/fault"
+	"lanewheel/internal/keep"
+)
+
+// Tell reads the platform's configuration. The error is a fault.List with all that is wrong.
+func Tell(path string) (keep.Told, error) {
+	if path == "" {
+		return keep.Told{}, fault.List{{File: "RELAY_CONFIG", Want: "is not set; wants the path of a configuration"}}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return keep.Told{}, fault.List{{File: path, Want: "can't be read: " + err.Error()}}
+	}
+	told, faults := parse(path, text)
+	return told, faults.Err()
+}
+
+func parse(path string, text []byte) (told keep.Told, faults fault.List) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return told, fault.List{{File: path, Want: err.Error()}}
+	}
+	var lines map[string]int // worked out once something is wrong
+	wrong := func(name, want string) {
+		if lines == nil {
+			lines, _ = fault.JSONLines(text)
+		}
+		value := ""
+		if at := v.Get(strings.Split(name, ".")...); at != nil && at.Type() != fastjson.TypeObject {
+			value = strings.Trim(at.String(), `"`)
+		}
+		line, above := lines[name], name
+		for line == 0 && strings.Contains(above, ".") { // what is not there is told with the line of what it is missing in
+			above = above[:strings.LastIndexByte(above, '.')]
+			line = lines[above]
+		}
+		faults = append(faults, fault.Fault{File: path, Line: line, Name: name, Value: value, Want: want})
+	}
+	for _, text := range []struct {
+		name string
+		to   *string
+	}{{"name", &told.Name}, {"listen", &told.Listen}, {"runtime", &told.Runtime}, {"db", &told.Database},
+		{"roster", &told.Roster}} {
+		if *text.to = string(v.GetStringBytes(text.name)); *text.to == "" {
+			wrong(text.name, "wants text")
+		}
+	}
+	for _, limit := range []struct {
+		name string
+		to   *float64
+	}{{"cores", &told.Cores}, {"memory_mb", &told.MemoryMB}} {
+		if *limit.to = v.GetFloat64("limits", limit.name); *limit.to <= 0 {
+			wrong("limits."+limit.name, "wants a number over 0")
+		}
+	}
+	if told.Sockets = v.GetInt("limits", "sockets"); told.Sockets < 32 {
+		wrong("limits.sockets", "wants a number of 32 or more")
+	}
+	told.Stop = time.Duration(v.GetFloat64("stop_ms") * float64(time.Millisecond))
+	seed := string(v.GetStringBytes("seed"))
+	if told.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		h := fnv.New64a()
+		h.Write([]byte(seed))
+		told.Seed = h.Sum64()
+	}
+	settings := v.Get("settings")
+	if settings == nil {
+		wrong("settings", "wants an object")
+		return told, faults
+	}
+	var bad []facts.Wrong
+	if told.Facts, bad = facts.Check(settings); len(bad) > 0 {
+		for _, w := range bad {
+			wrong("settings."+strings.Join(w.Path, "."), w.Want)
+		}
+	}
+	told.Gauges = facts.Gauges(settings)
+	told.Readiness = settings.GetBool("domain", "readiness")
+	return told, faults
+}
--- /dev/null
+++ b/internal/standin/database.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Database takes the calls, each on a connection of its own.
+type Database struct {
+	Listener net.Listener
+	Calls    chan *Call
+	Ended    chan struct{} // one for each connection that ended
+}
+
+// Call is one call that waits for its reply.
+type Call struct {
+	Conn net.Conn
+	Text string
+}
+
+func NewDatabase() *Database {
+	d := &Database{Must(net.Listen("tcp", "127.0.0.1:0")), make(chan *Call, 100), make(chan struct{}, 100)}
+	go func() {
+		for {
+			conn, err := d.Listener.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(conn)
+		}
+	}()
+	return d
+}
+
+func (d *Database) Addr() string { return d.Listener.Addr().String() }
+
+func (d *Database) serve(conn net.Conn) {
+	for in := bufio.NewReader(conn); ; {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			d.Ended <- struct{}{}
+			return
+		}
+		body := Must(io.ReadAll(req.Body))
+		timed := req.Header.Get("Statement-Timeout-Ms") != ""
+		d.Calls <- &Call{conn, fmt.Sprintf("%s %s for %s timed %v body %q", req.Method, req.URL,
+			strings.TrimLeft(req.Header.Get("Request-Ref"), "0"), timed, body)}
+	}
+}
+
+// Next gives the next call.
+func (d *Database) Next() *Call {
+	select {
+	case call := <-d.Calls:
+		return call
+	case <-time.After(Patience):
+		panic("no call at the database")
+	}
+}
+
+// Reply answers a call; fields are whole header lines.
+func (c *Call) Reply(status, fields, body string) {
+	fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
+}
+
+// Work has the database answer every call by itself.
+func (d *Database) Work() {
+	go func() {
+		for range d.Ended {
+		}
+	}()
+	go func() {
+		for call := range d.Calls {
+			call.Reply("200 OK", "", "rows")
+		}
+	}()
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +14,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+
+	"lanewheel/internal/logline"
 )
 
 // BufferSize is the one size of all buffers: the longest line of the runtime, a result of 4 KiB in base64
@@ -41,8 +43,7 @@
 	gate   *gate
 	dirty  []*Link
 	dials  map[string]chan func() // those that wait, by party; the owner's
-	ends   map[end]int            // connections that ended in this second
-	second time.Time              // when it began
+	ends   logline.Tally[end]     // connections that ended in this second
 	stubs  atomic.Int64           // connections that were accepted and are not closed
 	unread atomic.Int64           // bytes of all connections that their peers have not taken yet
 }
@@ -53,7 +54,7 @@
 // Start starts the poller and listens.
 func (n *Net) Start(listen string) error {
 	logging.SetLevel(logging.LevelError)
-	n.dials, n.ends = map[string]chan func(){}, map[end]int{}
+	n.dials = map[string]chan func(){}
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listen}, NPoller: 1,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), network, addr)
@@ -103,25 +104,18 @@
 // end is a kind of end that connections come to.
 type end struct{ party, code string }
 
-// few is how many lines a second one kind of end may leave; a handful shows who and how.
-const few = 4
-
 // Flush writes what the batch has gathered, each connection's answers together, and once a second a line for each
-// kind of end that had more than a few. Danger: connections that come by the hundred would fill the log with their ends,
-// and the core with writing it.
+// kind of end that had more than a few.
 func (n *Net) Flush() {
 	for _, l := range n.dirty {
 		l.dirty = false
 		l.flush()
 	}
 	n.dirty = n.dirty[:0]
-	if len(n.ends) > 0 && time.Since(n.second) > time.Second {
-		for e, count := range n.ends {
-			if count > few {
-				log.Printf("msg=ends party=%s code=%q more=%d", e.party, e.code, count-few)
-			}
-		}
-		clear(n.ends)
+	if n.ends.Waits() {
+		n.ends.Rest(time.Now(), func(e end, more int) {
+			slog.Info("ends", "party", e.party, "code", e.code, "more", more)
+		})
 	}
 }
 
@@ -382,13 +376,8 @@
 	default:
 		code = "never-reads"
 	}
-	if len(l.net.ends) == 0 {
-		l.net.second = time.Now()
-	}
-	kind := end{l.party, code}
-	l.net.ends[kind]++
-	if l.net.ends[kind] <= few {
-		log.Printf("msg=end party=%s code=%q open_ms=%d", l.party, code, time.Since(l.began).Milliseconds())
+	if now := time.Now(); l.net.ends.Line(end{l.party, code}, now) {
+		slog.Info("end", "party", l.party, "code", code, "open_ms", now.Sub(l.began).Milliseconds())
 	}
 	if l.out != nil {
 		l.net.Give(l.out)
