Who is calling: tokens, certificates, rights and keys before the module, off unless told

Change: internal/rights (who may, rates), internal/keyring (JWK sets with times, looks for unknown keys), internal/tokens (checks, what is remembered, a budget of time, single use), internal/certs (authorities, lists of what was taken back), internal/identity (the door before the module), wire/secure.go (TLS above the poller), keep/door.go; reload of all of it at SIGHUP, whole or not at all, read beside the signals; keys, token and cert commands; deploy/edge.ini. Shared reads keep to their tenant where callers are known.

--- /dev/null
+++ b/internal/command/cert.go
@@ -0,0 +1,146 @@
+package command
+
+import (
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"lanewheel/internal/certs"
+	"lanewheel/internal/keyring"
+)
+
+// certCommand makes what a deployment needs to know devices by certificates, with this program alone.
+type certCommand struct {
+	Authority certAuthority `cmd:"" help:"Make an authority: FOLDER/authority.pem to tell, and its private key."`
+	Issue     certIssue     `cmd:"" help:"Issue a certificate to a client, or with --server to an instance."`
+	Revoke    certRevoke    `cmd:"" help:"Take certificates back: write the authority's list anew."`
+}
+
+type certAuthority struct {
+	Folder string        `arg:"" help:"Folder to make it in." type:"path"`
+	Name   string        `default:"lanewheel authority" help:"Its name."`
+	For    time.Duration `default:"43800h" help:"How long it counts."`
+}
+
+func (c *certAuthority) Run(o output) error {
+	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
+		return err
+	}
+	pair, err := certs.NewAuthority(c.Name, time.Now(), c.For)
+	if err != nil {
+		return err
+	}
+	if err := save(o, pair, filepath.Join(c.Folder, "authority")); err != nil {
+		return err
+	}
+	// An empty list from the start: an instance that is told of a list does not start without one.
+	list, err := pair.Revoke(nil, nil, time.Now(), c.For)
+	if err != nil {
+		return err
+	}
+	return keyring.Write(filepath.Join(c.Folder, "revoked.pem"), list, 0o644)
+}
+
+// save writes a pair as PATH.pem and PATH.key; what is there already is never written over.
+func save(o output, pair certs.Pair, path string) error {
+	for _, end := range []string{".pem", ".key"} {
+		if _, err := os.Stat(path + end); err == nil {
+			return fmt.Errorf("%s is there already", path+end)
+		}
+	}
+	cert, key, err := pair.Texts()
+	if err != nil {
+		return err
+	}
+	if err := keyring.Write(path+".key", key, 0o600); err != nil {
+		return err
+	}
+	if err := keyring.Write(path+".pem", cert, 0o644); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "%s.pem until %s, serial %x\n", path, when(pair.Cert.NotAfter), pair.Cert.SerialNumber)
+	return nil
+}
+
+// load reads the authority of a folder.
+func load(folder string) (certs.Pair, error) {
+	cert, err := os.ReadFile(filepath.Join(folder, "authority.pem"))
+	if err != nil {
+		return certs.Pair{}, err
+	}
+	key, err := os.ReadFile(filepath.Join(folder, "authority.key"))
+	if err != nil {
+		return certs.Pair{}, err
+	}
+	return certs.ReadPair(cert, key)
+}
+
+type certIssue struct {
+	Path      string        `arg:"" help:"Where to write it, without an ending." type:"path"`
+	Authority string        `required:"" help:"Folder of the authority." type:"path"`
+	Name      string        `help:"Common name; without it, the last part of the path."`
+	URI       []string      `help:"Identities, as rota://water/handheld-7."`
+	Host      []string      `help:"DNS names and addresses."`
+	Server    bool          `help:"For an instance instead of a client."`
+	For       time.Duration `default:"8760h" help:"How long it counts."`
+}
+
+func (c *certIssue) Run(o output) error {
+	a, err := load(c.Authority)
+	if err != nil {
+		return err
+	}
+	name := c.Name
+	if name == "" {
+		name = filepath.Base(c.Path)
+	}
+	pair, err := a.Issue(certs.Subject{Name: name, URIs: c.URI, Hosts: c.Host}, c.Server, time.Now(), c.For)
+	if err != nil {
+		return err
+	}
+	return save(o, pair, c.Path)
+}
+
+type certRevoke struct {
+	Certs     []string      `arg:"" optional:"" help:"Files of the certificates; without any, the list is only written anew." type:"path"`
+	Authority string        `required:"" help:"Folder of the authority." type:"path"`
+	For       time.Duration `default:"720h" help:"When the next list is due."`
+}
+
+func (c *certRevoke) Run(o output) error {
+	a, err := load(c.Authority)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(c.Authority, "revoked.pem")
+	old, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return err
+	}
+	var serials []*big.Int
+	for _, file := range c.Certs {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		all, err := certs.Certificates(text)
+		if err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
+		if err := all[0].CheckSignatureFrom(a.Cert); err != nil {
+			return fmt.Errorf("%s is not this authority's: %w", file, err)
+		}
+		serials = append(serials, all[0].SerialNumber)
+	}
+	list, err := a.Revoke(old, serials, time.Now(), c.For)
+	if err != nil {
+		return err
+	}
+	if err := keyring.Write(path, list, 0o644); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "%s: %d more taken back\n", path, len(serials))
+	return nil
+}
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -13,13 +13,14 @@
 
 // checkCommand reads a file as an instance would, and says all that is wrong with it.
 type checkCommand struct {
-	Files []string `arg:"" name:"file" help:"Configurations, which begin with a brace, or operator's files." type:"path"`
+	Named bool     `help:"Also read the keys, certificates and lists that an operator's file names."`
+	Files []string `arg:"" name:"file" help:"Configurations, which begin with a brace, or operator's files."`
 }
 
 func (c *checkCommand) Run(o output) error {
 	failed := false
 	for _, path := range c.Files {
-		err := check(path)
+		err := c.check(path)
 		var all fault.List
 		switch {
 		case err == nil:
@@ -40,7 +41,7 @@
 	return nil
 }
 
-func check(path string) error {
+func (c *checkCommand) check(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fault.List{{File: path, Want: "can't be read: " + err.Error()}}
@@ -49,6 +50,10 @@
 		_, err = life.Tell(path)
 		return err
 	}
+	if c.Named {
+		_, err = life.Operate(path)
+		return err
+	}
 	_, err = operator.Load(path)
 	return err
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,6 +19,9 @@
 	Serve serveCommand `cmd:"" default:"withargs" help:"Serve as one instance: the same as with no arguments."`
 	Check checkCommand `cmd:"" help:"Read a configuration (JSON) or an operator's file (INI) and say all that is wrong."`
 	Try   tryCommand   `cmd:"" help:"Run an instance among stand-ins for all it speaks to, under a load of client stubs."`
+	Keys  keysCommand  `cmd:"" help:"Make, publish and retire the keys that tokens are signed with."`
+	Token tokenCommand `cmd:"" help:"Issue and show tokens."`
+	Cert  certCommand  `cmd:"" help:"Make an authority, issue certificates and take them back."`
 }
 
 // output is what a sub-command prints to.
--- /dev/null
+++ b/internal/command/keys.go
@@ -0,0 +1,315 @@
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-jose/go-jose/v4"
+	"github.com/go-jose/go-jose/v4/jwt"
+
+	"lanewheel/internal/keyring"
+	"lanewheel/internal/life"
+	"lanewheel/internal/rights"
+	"lanewheel/internal/tokens"
+)
+
+// keysCommand makes and looks after the keys that tokens are signed with.
+type keysCommand struct {
+	New     keysNew     `cmd:"" help:"Make a key pair; the private half is written for its owner alone, and nothing is published."`
+	List    keysList    `cmd:"" help:"List the published keys of a folder and what they count for now."`
+	Publish keysPublish `cmd:"" help:"Publish the public half of a key, with the times between which it counts."`
+	Retire  keysRetire  `cmd:"" help:"Tell when a published key stops to count, or take it back now."`
+}
+
+type keysNew struct {
+	Private   string `help:"Folder for the private key." required:"" type:"path"`
+	Algorithm string `help:"EdDSA, ES256 or RS256." enum:"EdDSA,ES256,RS256" default:"EdDSA"`
+	ID        string `help:"The key's id; without it, its thumbprint." placeholder:"KID"`
+}
+
+func (c *keysNew) Run(o output) error {
+	k, err := keyring.New(c.Algorithm)
+	if err != nil {
+		return err
+	}
+	if c.ID != "" {
+		k.KeyID = c.ID
+	}
+	text, err := k.MarshalJSON()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(c.Private, fileName(k.KeyID)+".private")
+	if _, err := os.Stat(path); err == nil {
+		return fmt.Errorf("%s is there already", path)
+	}
+	if err := os.MkdirAll(c.Private, 0o700); err != nil {
+		return err
+	}
+	if err := keyring.Write(path, append(text, '\n'), 0o600); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "%s\t%s\t%s\n", k.KeyID, c.Algorithm, path)
+	return nil
+}
+
+// fileName makes a file's name of a key's id, which may hold anything.
+func fileName(id string) string {
+	return strings.Map(func(r rune) rune {
+		if r == '-' || r == '_' || r >= '0' && r <= '9' || r >= 'A' && r <= 'Z' || r >= 'a' && r <= 'z' {
+			return r
+		}
+		return '_'
+	}, id)
+}
+
+type keysList struct {
+	Folder string `help:"Folder of the published keys." required:"" type:"path"`
+}
+
+func (c *keysList) Run(o output) error {
+	set, err := keyring.Load(c.Folder)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "key\talgorithm\tnow\tfrom\tuntil\tfile")
+	for _, k := range set.Keys() {
+		now := k.At(time.Now())
+		if now == "" {
+			now = "counts"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", k.ID, k.Algorithm, now, when(k.NotBefore), when(k.Retire), filepath.Base(k.File))
+	}
+	return w.Flush()
+}
+
+func when(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
+
+// moments are two ends of a time, each told as a moment or from now.
+type moments struct {
+	From  string `help:"When it begins to count: RFC 3339, or a time from now as 10m. Without it, always." placeholder:"WHEN"`
+	Until string `help:"When it stops to count: RFC 3339, or a time from now as 720h. Without it, never." placeholder:"WHEN"`
+}
+
+// moment reads a moment, or a time from now.
+func moment(text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if d, err := time.ParseDuration(text); err == nil {
+		return time.Now().Add(d), nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return t, fmt.Errorf("%q: wants a moment as 2027-01-31T06:00:00Z, or a time from now as 36h", text)
+	}
+	return t, nil
+}
+
+type keysPublish struct {
+	Key    string `arg:"" help:"File of the private key." type:"path"`
+	Folder string `help:"Folder of the published keys, which instances read." required:"" type:"path"`
+	moments
+}
+
+func (c *keysPublish) Run(o output) error {
+	k, err := keyring.Private(c.Key)
+	if err != nil {
+		return err
+	}
+	from, err := moment(c.From)
+	if err != nil {
+		return err
+	}
+	until, err := moment(c.Until)
+	if err != nil {
+		return err
+	}
+	return publish(o, c.Folder, k, from, until, false)
+}
+
+// publish writes a key's file, and proves that the folder is good with it before instances see it.
+func publish(o output, folder string, k jose.JSONWebKey, from, until time.Time, withdrawn bool) error {
+	text, err := keyring.Publish(k, from, until, withdrawn)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	path := filepath.Join(folder, fileName(k.KeyID)+".json")
+	files, err := keyring.Folder(folder)
+	if err != nil {
+		return err
+	}
+	files[path] = text
+	if _, err := keyring.Read(files); err != nil {
+		return err
+	}
+	if err := keyring.Write(path, text, 0o644); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "%s\tfrom %s until %s\t%s\n", k.KeyID, when(from), when(until), path)
+	return nil
+}
+
+type keysRetire struct {
+	ID     string `arg:"" name:"kid" help:"The key's id."`
+	Folder string `help:"Folder of the published keys." required:"" type:"path"`
+	At     string `help:"When it stops to count: RFC 3339, or a time from now." placeholder:"WHEN"`
+	Now    bool   `help:"Take it back now: whatever it signed counts no more."`
+}
+
+func (c *keysRetire) Run(o output) error {
+	if c.Now == (c.At != "") {
+		return errors.New("wants one of --at and --now")
+	}
+	at, err := moment(c.At)
+	if err != nil {
+		return err
+	}
+	set, err := keyring.Load(c.Folder)
+	if err != nil {
+		return err
+	}
+	k := set.Find(keyring.KeyID(c.ID))
+	if k == nil {
+		return fmt.Errorf("%s has no key %q", c.Folder, c.ID)
+	}
+	if c.Now {
+		at = k.Retire
+	}
+	if filepath.Base(k.File) != fileName(c.ID)+".json" {
+		return fmt.Errorf("%s was not written by \"keys publish\": change it there", k.File)
+	}
+	return publish(o, c.Folder, jose.JSONWebKey{Key: k.Public, KeyID: c.ID, Algorithm: string(k.Algorithm), Use: "sig"},
+		k.NotBefore, at, c.Now || k.Withdrawn)
+}
+
+// tokenCommand issues and shows tokens.
+type tokenCommand struct {
+	Issue tokenIssue `cmd:"" help:"Sign a token and print it."`
+	Show  tokenShow  `cmd:"" help:"Show what a token says and, with an operator's file, whether it counts now."`
+}
+
+type tokenIssue struct {
+	Key      string        `help:"File of the private key." required:"" type:"path"`
+	Issuer   string        `required:"" help:"Who issues it, as the instances are told."`
+	Audience string        `required:"" help:"For whom it is, as the instances are told."`
+	Subject  string        `required:"" help:"Whom it is for, as handheld-7."`
+	Tenant   string        `help:"Tenant, in the claim that --tenant-claim names."`
+	Roles    []string      `help:"Roles, in the claim that --roles-claim names." placeholder:"ROLE,..."`
+	TenantIn string        `name:"tenant-claim" default:"tenant" help:"Name of the claim with the tenant."`
+	RolesIn  string        `name:"roles-claim" default:"roles" help:"Name of the claim with the roles."`
+	For      time.Duration `default:"1h" help:"How long it counts."`
+	ID       string        `name:"jti" help:"Its id; without one, it has one drawn at random."`
+}
+
+func (c *tokenIssue) Run(o output) error {
+	k, err := keyring.Private(c.Key)
+	if err != nil {
+		return err
+	}
+	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Algorithm), Key: k},
+		(&jose.SignerOptions{}).WithType("JWT"))
+	if err != nil {
+		return err
+	}
+	id := c.ID
+	if id == "" {
+		id = tokens.NewID()
+	}
+	now := time.Now()
+	claims := jwt.Claims{Issuer: c.Issuer, Subject: c.Subject, Audience: jwt.Audience{c.Audience}, ID: id,
+		IssuedAt: jwt.NewNumericDate(now), NotBefore: jwt.NewNumericDate(now), Expiry: jwt.NewNumericDate(now.Add(c.For))}
+	more := map[string]any{}
+	if c.Tenant != "" {
+		more[c.TenantIn] = c.Tenant
+	}
+	if len(c.Roles) > 0 {
+		more[c.RolesIn] = c.Roles
+	}
+	text, err := jwt.Signed(signer).Claims(claims).Claims(more).Serialize()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(o.out, text)
+	return nil
+}
+
+type tokenShow struct {
+	File     string `arg:"" help:"File with the token, - for standard input." default:"-"`
+	Operator string `help:"Operator's file, whose keys and rules it is checked by." placeholder:"FILE" type:"path"`
+}
+
+func (c *tokenShow) Run(o output) error {
+	var text []byte
+	var err error
+	if c.File == "-" {
+		text, err = io.ReadAll(io.LimitReader(os.Stdin, 1<<16))
+	} else {
+		text, err = os.ReadFile(c.File)
+	}
+	if err != nil {
+		return err
+	}
+	raw := strings.TrimSpace(string(text))
+	token, err := jwt.ParseSigned(raw, []jose.SignatureAlgorithm{jose.EdDSA, jose.ES256, jose.RS256})
+	if err != nil {
+		return err
+	}
+	var claims map[string]any
+	if err := token.UnsafeClaimsWithoutVerification(&claims); err != nil {
+		return err
+	}
+	body, err := json.MarshalIndent(claims, "", " ")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "algorithm %s, key %s\n%s\n", token.Headers[0].Algorithm, token.Headers[0].KeyID, body)
+	if c.Operator == "" {
+		return nil
+	}
+	with, err := life.Operate(c.Operator)
+	if err != nil {
+		return err
+	}
+	if with.Callers == nil || with.Callers.Keys == nil {
+		return errors.New("the operator's file has no tokens")
+	}
+	p := with.Callers
+	why := judge(raw, p.Keys, p.Policy, p.Revoked)
+	if why != "" {
+		fmt.Fprintf(o.out, "denied: %s\n", why)
+		return errSaid
+	}
+	fmt.Fprintln(o.out, "good")
+	return nil
+}
+
+// judge tells whether a token counts now, as an instance would.
+func judge(raw string, keys *keyring.Set, p *tokens.Policy, revoked *tokens.Revocations) rights.Reason {
+	now := time.Now()
+	ring := keyring.NewRing(keys, time.Second)
+	c, why := tokens.Verify(raw, func(id keyring.KeyID) (*keyring.Key, rights.Reason) { return ring.Find(id, now) }, p)
+	if why == "" {
+		why = c.At(now, p)
+	}
+	if why == "" && revoked.Has(&c) {
+		why = tokens.Revoked
+	}
+	return why
+}
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"lanewheel/choice"
+	"lanewheel/internal/identity"
+	"lanewheel/internal/rights"
 	"lanewheel/internal/wire"
 )
 
@@ -24,6 +26,9 @@
 	Facts     choice.Facts
 	Gauges    []string // our names, in the order told
 	Readiness bool     // the list follows health
+
+	Callers *identity.Parts // who may do what; nil: everybody everything
+	Secure  *wire.Secure    // a further listener with TLS; nil: none
 }
 
 // Instance is one life of a service instance. All of it belongs to the owner loop.
@@ -49,7 +54,8 @@
 	database database
 	keys     keys
 	health   health
-	say      float64 // rides on all answers; under 0 until it is said
+	door     *identity.Door // nil: all may enter
+	say      float64        // rides on all answers; under 0 until it is said
 
 	most int // ops in hand
 
@@ -79,9 +85,20 @@
 	// of the memory is for answers that nobody reads.
 	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: in.accept, Crowded: in.makeRoom,
 		Most: int64(told.Sockets) * 5 / 8, Unread: int64(told.MemoryMB*(1<<20)) / 8}
+	if told.Callers != nil {
+		in.door = identity.New(*told.Callers, in.Hand, func() (time.Duration, time.Time) { return in.now, in.wall })
+		in.net.Tokens.Store(told.Callers.Keys != nil)
+	}
 	if err := in.net.Start(told.Listen); err != nil {
 		return nil, err
 	}
+	if told.Secure != nil {
+		secure := *told.Secure
+		secure.Prove = in.door.Prove
+		if err := in.net.StartSecure(secure); err != nil {
+			return nil, err
+		}
+	}
 	in.database.init(in)
 	in.Hand(func() {
 		in.connect()
@@ -119,12 +136,15 @@
 	id      choice.OpID
 	kind    choice.OpType
 	subject string
+	tenant  choice.TenantID // whose it is by its caller's rights; empty where there are none
 	body    []byte
 	stub    *caller // whom its answer is owed to; nil once it is answered or the caller has left
 	n       uint32  // what the stub calls it
 	run     *run
 	sharing func(choice.Ending, time.Duration) // waits for another's result
 	since   time.Duration                      // when it began to wait
+	outside bool                               // it waits at the door: the module has not heard of it
+	pass    rights.Pass                        // given back when the op is over
 }
 
 // read takes an op off a connection.
@@ -149,19 +169,32 @@
 		c.conn.Refuse(n, in.with())
 		return
 	}
+	if in.door != nil {
+		in.enter(c, n, ask)
+		return
+	}
+	in.admit(c, n, ask, nil)
+}
+
+// admit hands an op to the module. before is the op as it waited at the door, nil if it did not.
+func (in *Instance) admit(c *caller, n uint32, ask wire.Ask, before *op) {
 	lay := max(0, in.wall.Sub(time.UnixMilli(ask.At)))
 	if code := in.unservable(ask); code != "" {
+		in.dismiss(before)
 		c.turnedAway(n, code)
 		return
 	}
 	if lay > mostTimeouts*in.kinds[choice.OpType(ask.Type)] { // long over, by a clock that is not ours
+		in.dismiss(before)
 		c.conn.Refuse(n, in.with())
 		return
 	}
 	c.strikes = 0
-	o := &op{id: id, kind: choice.OpType(ask.Type), subject: ask.Subject, stub: c, n: n,
-		body: append(in.pool.Take(), ask.Body...)}
-	in.ops[id], c.open[n], c.used = o, o, in.now
+	id, o := choice.OpID(ask.ID), before
+	if o == nil {
+		o = in.take(c, n, ask)
+	}
+	o.outside = false
 	in.touched = true
 	in.desk.Read(choice.Arrival{ID: id, Type: o.kind, Rank: ask.Rank, Write: ask.Subject == "",
 		Subject: ask.Subject, Caller: choice.CallerID(ask.From), Waits: ask.Waits,
@@ -169,6 +202,14 @@
 		Tenant: choice.TenantID(ask.Tenant), RepeatsOf: in.keys.repeated(in, o)})
 }
 
+// take puts an op in the tables.
+func (in *Instance) take(c *caller, n uint32, ask wire.Ask) *op {
+	o := &op{id: choice.OpID(ask.ID), kind: choice.OpType(ask.Type), subject: ask.Subject, stub: c, n: n,
+		body: append(in.pool.Take(), ask.Body...)}
+	in.ops[o.id], c.open[n], c.used = o, o, in.now
+	return o
+}
+
 // mostTimeouts is how many op timeouts no stub would wait, nor any op lie or work: one is many times an op's work.
 const mostTimeouts = 10
 
@@ -192,6 +233,10 @@
 // gone hears that the caller of an op has given it up.
 func (in *Instance) gone(o *op) {
 	in.unowe(o)
+	if o.outside { // the verdict finds it gone
+		in.release(o)
+		return
+	}
 	in.touched = true
 	in.desk.Gone(o.id)
 	in.release(o)
@@ -205,6 +250,7 @@
 		o.stub = nil
 		delete(c.open, o.n)
 		c.used = in.now
+		c.leaveIfBarred()
 	}
 	return c
 }
@@ -227,7 +273,12 @@
 	delete(in.ops, o.id)
 	in.pool.Give(o.body)
 	o.body = nil
-	in.keys.over(in, o, nil)
+	if in.door != nil {
+		in.door.Give(&o.pass)
+	}
+	if !o.outside {
+		in.keys.over(in, o, nil)
+	}
 }
 
 // The rest is choice.Port.
--- a/internal/keep/keys.go
+++ b/internal/keep/keys.go
@@ -17,6 +17,7 @@
 type like struct {
 	kind    choice.OpType
 	subject string
+	tenant  choice.TenantID // empty while all may do everything
 }
 
 // kept is one key and, once its run has gone well, the result.
@@ -29,7 +30,9 @@
 	waiting []*op
 }
 
-func (k *keys) like(o *op) like { return like{o.kind, o.subject} }
+// like is what repeats of an op have in common. Danger: where callers are known, one tenant's read must not be answered
+// with what another's came to.
+func (k *keys) like(o *op) like { return like{o.kind, o.subject, o.tenant} }
 
 // repeated is the kept op that this one repeats, or none.
 func (k *keys) repeated(in *Instance, o *op) choice.OpID {
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -43,6 +43,9 @@
 
 // part closes the listening socket, then the connections as they fall empty, and ends when none is left.
 func (in *Instance) part(last time.Duration) {
+	if in.door != nil { // no op waits at the door past the module's last answers
+		in.door.Stop()
+	}
 	in.net.Deafen()
 	for _, c := range in.stubs {
 		c.part()
--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lanewheel/internal/identity"
 	"lanewheel/internal/wire"
 )
 
@@ -19,6 +20,8 @@
 	dying   string        // it was closed, for this reason
 	heard   bool          // a whole message has come on it
 	strikes int           // asks in a row that could never be served
+	badge   identity.Badge
+	barred  string // why nothing more is taken from it; it ends when its open ops are answered
 }
 
 // accept makes a new connection one of a client stub. It runs beside the owner loop.
@@ -40,6 +43,7 @@
 			in.check(c, n, deep)
 		}
 	}
+	s.OnProven = c.proven
 	s.OnFault = c.fault
 	s.OnEnd = func(string) {
 		delete(in.stubs, s)
@@ -101,10 +105,15 @@
 	// A message is 3 KiB at most and a stub opens a connection when it has one to send: many round trips of a poor
 	// link, and half of the 3 s in which whoever connects should hear something.
 	const patience = 1500 * time.Millisecond
+	// A handshake is two round trips and some certificates; on a poor link each may come a second late.
+	const handshakeFor = 3 * time.Second
 	const often = 100 * time.Millisecond
 	// Danger: a machine that stood still makes what came meanwhile look as if it had never come.
 	stood := in.now-in.swept > 5*often
 	in.swept = in.now
+	if in.door != nil {
+		in.sweepDoor()
+	}
 	for _, c := range in.stubs {
 		switch {
 		case c.dying != "":
@@ -113,6 +122,10 @@
 			}
 		case c.conn.Unfinished(in.wall) > patience && !stood:
 			c.fault("unfinished")
+		case c.conn.Proves():
+			if in.now-c.used > handshakeFor && !stood {
+				c.close("handshake-slow")
+			}
 		case len(c.open) > 0 || c.checks > 0:
 		case !c.heard && in.now-c.used > patience && !stood:
 			c.close("silent")
@@ -131,9 +144,12 @@
 	// Twice what an op may take to come that was sent before its stub saw the end; ten times that where ops have come.
 	const crossing, again = 100 * time.Millisecond, time.Second
 	var first *caller
+	proving, most := in.net.Proving()
+	onlyProving := proving >= most // there is room for connections, but for no more handshakes
 	for _, c := range in.stubs {
 		unused := in.now - c.used
-		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || unused < crossing || c.heard && unused < again {
+		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || unused < crossing || c.heard && unused < again ||
+			onlyProving && !c.conn.Proves() {
 			continue
 		}
 		if first == nil || first.heard && !c.heard || first.heard == c.heard && c.used < first.used {
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -2,18 +2,20 @@
 package life
 
 import (
+	"crypto/tls"
 	"log/slog"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"lanewheel/internal/fault"
 	"lanewheel/internal/keep"
 	"lanewheel/internal/logline"
-	"lanewheel/internal/operator"
 )
 
 // Live starts the instance that the configuration at path and the operator's file, if one is named, tell of, and serves
@@ -26,54 +28,129 @@
 	if err != nil {
 		return err
 	}
-	file, err := operator.Load(operated)
+	with, err := Operate(operated)
 	if err != nil {
 		return err
 	}
 	if format == "" {
-		logline.Start(os.Stderr, file.Log.Format)
+		logline.Start(os.Stderr, with.File.Log.Format)
 	}
 	// One processor for each core told, and no more: a second one on a part of a core wakes and sleeps for each message.
 	runtime.GOMAXPROCS(int(math.Ceil(told.Cores)))
 	// Half the limit: the rest is for what the kernel and the binary itself take.
 	debug.SetMemoryLimit(int64(told.MemoryMB * (1 << 19)))
-	in, err := keep.Open(told)
-	if err != nil {
+	k := &keeper{path: path, operated: operated, with: with}
+	told.Callers, told.Secure = with.Callers, with.listener(&k.server)
+	if k.in, err = keep.Open(told); err != nil {
 		return err
 	}
-	go heed(in, signals, path)
+	go k.heed(signals)
 	slog.Info("listening", "name", told.Name, "addr", told.Listen)
-	in.Serve()
+	if with.Server != nil {
+		slog.Info("listening", "name", told.Name, "addr", with.File.TLS.Listen, "tls", with.File.TLS.Oldest)
+	}
+	k.in.Serve()
 	return nil
 }
 
-// heed carries out what signals ask for: SIGTERM to leave, SIGHUP to go by the configuration as it is now.
-// Danger: a configuration that can't be read, or is still being written, must not end or change a running instance.
-// The old one stays in force and the file is read again, soon and then less and less often.
-func heed(in *keep.Instance, signals <-chan os.Signal, path string) {
+// keeper keeps a running instance on what its files say.
+type keeper struct {
+	in       *keep.Instance
+	path     string   // of the configuration
+	operated string   // of the operator's file, empty if there is none
+	with     Operated // what is in force of it
+	server   atomic.Pointer[tls.Config]
+}
+
+// heed carries out what signals ask for: SIGTERM to leave, SIGHUP to go by the files as they are now.
+// Danger: a file that can't be read, or is still being written, must not end or change a running instance. The old ones
+// stay in force and the files are read again, soon and then less and less often.
+func (k *keeper) heed(signals <-chan os.Signal) {
 	const soon, seldom = 50 * time.Millisecond, 5 * time.Second // a file takes far less to write; a person far more
 	var again <-chan time.Time
 	var wait time.Duration
+	wanted, reading := false, false
+	came := make(chan reread, 1)
 	for {
 		select {
 		case s := <-signals:
 			if s == syscall.SIGTERM {
-				in.Hand(in.Leave)
+				k.in.Hand(k.in.Leave)
 				continue
 			}
-			wait = 0
+			wanted, wait = true, 0
 		case <-again:
+			wanted = true
+		case r := <-came:
+			reading = false
+			err := r.err
+			if err == nil {
+				err = k.carryOut(r)
+			}
+			if err != nil {
+				if wait == 0 {
+					slog.Warn("configuration-kept", "err", err)
+				}
+				wait = min(max(2*wait, soon), seldom)
+				again = time.After(wait)
+			}
 		}
-		again = nil
-		told, err := Tell(path)
-		if err == nil {
-			in.Hand(func() { in.Move(told) })
-			continue
+		// Danger: a disk that hangs would keep the notice to leave from us. Files are read aside, one reading at a time.
+		if wanted && !reading {
+			wanted, reading, again = false, true, nil
+			go func() { came <- k.read() }()
+		}
+	}
+}
+
+// reread is what the files say now.
+type reread struct {
+	told keep.Told
+	with Operated
+	err  error
+}
+
+// still is how long files have to stay as they are before they count: some times what a program takes between two writes.
+const still = 20 * time.Millisecond
+
+// read reads all files. Danger: a file that is cut off behind a whole line reads as one that says less. What is still being
+// written is another one a moment later.
+func (k *keeper) read() (r reread) {
+	if r.told, r.err = Tell(k.path); r.err != nil || k.operated == "" {
+		return r
+	}
+	if r.with, r.err = Operate(k.operated); r.err != nil {
+		return r
+	}
+	time.Sleep(still)
+	second, err := Operate(k.operated)
+	if r.err = err; err == nil && second.digest != r.with.digest {
+		r.err = fault.List{{File: k.operated, Want: "or a file it names, is being written"}}
+	}
+	return r
+}
+
+// carryOut puts in force what was read, all of it or nothing.
+func (k *keeper) carryOut(r reread) error {
+	if k.operated != "" {
+		if err := r.with.fixed(&k.with); err != nil {
+			return err
 		}
-		if wait == 0 {
-			slog.Warn("configuration-kept", "err", err)
+		k.with = r.with
+		if r.with.Server != nil {
+			k.server.Store(r.with.Server)
 		}
-		wait = min(max(2*wait, soon), seldom)
-		again = time.After(wait)
+		k.in.Hand(func() { k.in.Admit(r.with.Callers) })
+		slog.Info("operated", "file", k.operated, "keys", r.with.keys(), "roles", len(r.with.File.Callers.Roles),
+			"callers", len(r.with.File.Callers.Map))
+	}
+	k.in.Hand(func() { k.in.Move(r.told) })
+	return nil
+}
+
+func (o *Operated) keys() int {
+	if o.Callers == nil {
+		return 0
 	}
+	return len(o.Callers.Keys.Keys())
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,14 +5,57 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
+	"lanewheel/choice"
 	"lanewheel/internal/fault"
+	"lanewheel/internal/rights"
+	"lanewheel/internal/tokens"
 )
 
 // File is a whole operator's file. Its zero value is what holds without one: everything off.
 type File struct {
-	Path string
-	Log  Log
+	Path    string
+	Log     Log
+	Callers Callers
+	Tokens  Tokens
+	TLS     TLS
+}
+
+// Callers is who may do what. It is on if the file has any section that speaks of callers.
+type Callers struct {
+	On        bool
+	Anonymous []rights.RoleName // of callers that prove nothing
+	Writes    []choice.OpType   // what changes something, whatever an op says of itself
+	Entries   int               // identities whose rates and counts are kept, by role
+	Roles     []rights.Role
+	Map       []rights.Caller
+	Book      *rights.Book
+}
+
+// Tokens is how signed tokens are checked.
+type Tokens struct {
+	On      bool
+	Keys    string // a folder
+	Revoked string // a file, empty for none
+	Policy  tokens.Policy
+	Bounds  tokens.Bounds
+}
+
+// TLS is a further listener.
+type TLS struct {
+	On          bool
+	Listen      string
+	Certificate string
+	Key         string
+	Authorities string // empty: no client certificates
+	Revoked     string // lists, empty for none
+	Grace       time.Duration
+	AllowOld    bool
+	Required    bool   // a client has to bring a certificate
+	Oldest      string // version
+	Handshakes  int    // at a time
+	Rate        float64
 }
 
 // Log is how lines are written.
@@ -37,7 +80,11 @@
 	r := read(path, text)
 	f := File{Path: path}
 	f.Log = r.log()
-	r.close()
+	f.Callers = r.callers()
+	f.Tokens = r.tokens()
+	f.TLS = r.tls()
+	f.Callers.On = f.Callers.On || f.Tokens.On || f.TLS.On
+	r.close("caller", "role")
 	return f, r.faults.Err()
 }
 
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -39,8 +39,12 @@
 	Most    int64           // accepted connections at a time
 	Unread  int64           // past so many bytes, who leaves more than a few unread loses its connection
 
+	// Tokens tells whether stubs may bring tokens; else the field is passed over as others that are not known.
+	Tokens atomic.Bool
+
 	engine *nbio.Engine
-	gate   *gate
+	gates  []*gate
+	secure *secure // nil: no listener with TLS
 	dirty  []*Link
 	dials  map[string]chan func() // those that wait, by party; the owner's
 	ends   logline.Tally[end]     // connections that ended in this second
@@ -61,8 +65,9 @@
 			if err != nil {
 				return nil, err
 			}
-			n.gate = &gate{TCPListener: l.(*net.TCPListener), net: n, idle: make(chan struct{})}
-			return n.gate, nil
+			g := &gate{TCPListener: l.(*net.TCPListener), net: n, idle: make(chan struct{})}
+			n.gates = append(n.gates, g)
+			return g, nil
 		},
 		ReadBufferSize: BufferSize, MaxWriteBufferSize: mostUnwritten,
 		MaxConnReadTimesPerEventLoop: 16}) // 128 KiB of one peer before the next one's turn
@@ -71,14 +76,16 @@
 			l.opened(c)
 			l.born.Store(true)
 		} else {
-			n.stubs.Add(1)
-			l = n.link(c, "stub")
-			n.Accept(l)
-			l.born.Store(true)
+			n.accepted(c, nil).born.Store(true)
 		}
 	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
-		if l, is := c.Session().(*Link); is && l.born.Load() {
+		l, is := c.Session().(*Link)
+		switch {
+		case !is || !l.born.Load():
+		case l.tls != nil:
+			l.tls.feed(b)
+		default:
 			l.read(b)
 		}
 	})
@@ -92,9 +99,12 @@
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		if l, is := c.Session().(*Link); is {
-			if l.opened == nil {
+			if l.opened == nil || l.tls != nil {
 				n.stubs.Add(-1)
 			}
+			if l.tls != nil {
+				l.tls.cut(io.EOF)
+			}
 			n.Hand(func() { l.end(err) })
 		}
 	})
@@ -145,6 +155,16 @@
 	why       string
 	unwritten atomic.Int64
 	closing   atomic.Bool
+	tls       *tlsPipe // nil on a plain connection
+}
+
+// accepted makes a connection that was accepted one of a client stub, under TLS if pipe is not nil.
+func (n *Net) accepted(c *nbio.Conn, pipe *tlsPipe) *Link {
+	n.stubs.Add(1)
+	l := n.link(c, "stub")
+	l.tls = pipe
+	n.Accept(l)
+	return l
 }
 
 func (n *Net) link(c *nbio.Conn, party string) *Link {
@@ -314,6 +334,16 @@
 		l.Cut()
 		return
 	}
+	if l.tls != nil && !l.tls.stands.Load() { // Danger: the loop would wait for the handshake
+		l.net.unread.Add(-int64(len(b)))
+		return
+	}
+	if l.tls != nil {
+		// What comes out of it is written, and counted, by the pipe below.
+		_, _ = l.tls.conn.Write(b)
+		l.net.unread.Add(-int64(len(b)))
+		return
+	}
 	l.unwritten.Add(int64(len(b)))
 	_, _ = l.nb.Write(b) // a failure closes the connection, which is told by its callback
 }
@@ -340,6 +370,9 @@
 		return
 	}
 	l.flush()
+	if l.tls != nil && l.tls.stands.Load() {
+		_ = l.tls.conn.CloseWrite() // so that the peer can tell our end from one that somebody else made
+	}
 	l.closing.Store(true)
 	if l.unwritten.Load() <= 0 {
 		l.Cut()
@@ -393,6 +426,7 @@
 type gate struct {
 	*net.TCPListener
 	net  *Net
+	full func() bool // holds back beside that, if not nil
 	shut atomic.Bool
 	idle chan struct{}
 }
@@ -404,7 +438,7 @@
 		}
 		// Some round trips on one machine: short against an op, long against a core.
 		const again = 2 * time.Millisecond
-		if g.net.stubs.Load() >= g.net.Most {
+		if g.net.stubs.Load() >= g.net.Most || g.full != nil && g.full() {
 			g.net.Hand(g.net.Crowded)
 			time.Sleep(again)
 			continue
@@ -421,18 +455,22 @@
 // not accepted yet, and the ops written there are lost. The kernel drops what asks for a connection from here
 // on; those that stand already are accepted until Shut.
 func (n *Net) Deafen() {
-	raw, err := n.gate.SyscallConn()
-	if err != nil {
-		return
+	for _, g := range n.gates {
+		raw, err := g.SyscallConn()
+		if err != nil {
+			continue
+		}
+		_ = raw.Control(func(fd uintptr) {
+			drop := []syscall.SockFilter{*syscall.LsfStmt(syscall.BPF_RET|syscall.BPF_K, 0)}
+			_ = syscall.AttachLsf(int(fd), drop)
+		})
 	}
-	_ = raw.Control(func(fd uintptr) {
-		drop := []syscall.SockFilter{*syscall.LsfStmt(syscall.BPF_RET|syscall.BPF_K, 0)}
-		_ = syscall.AttachLsf(int(fd), drop)
-	})
 }
 
-// Shut closes the listening socket.
+// Shut closes the listening sockets.
 func (n *Net) Shut() {
-	n.gate.shut.Store(true)
-	_ = n.gate.Close()
+	for _, g := range n.gates {
+		g.shut.Store(true)
+		_ = g.Close()
+	}
 }
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -19,14 +19,16 @@
 	Waits                     bool
 	Cost                      time.Duration
 	KB, Rank                  float64
+	Token                     string // empty where none is brought
 	Body                      []byte
 }
 
-// With is what an answer carries beside itself. Say under 0 is left out.
+// With is what an answer carries beside itself. Say under 0 is left out, as is an empty Why.
 type With struct {
 	Say   float64
 	After time.Duration
 	Last  bool
+	Why   string
 }
 
 // Stub is a client stub's connection. The fields are its callbacks, called on the owner loop.
@@ -37,6 +39,10 @@
 	OnCheck     func(n uint32, deep bool)
 	OnFault     func(code string)
 	OnEnd       func(code string)
+	// OnProven hears of the proof that a handshake came to; on a plain connection it never comes.
+	OnProven func(proof any)
+
+	token string // the last one read, which the next is likely to be; the reader's
 }
 
 // Stub makes an accepted connection one of a client stub.
@@ -45,6 +51,9 @@
 	l.parse = s.message
 	l.fault = func(code string) { s.OnFault(code) }
 	l.ended = func(code string) { s.OnEnd(code) }
+	if l.tls != nil {
+		l.tls.proven = func(proof any) { s.OnProven(proof) }
+	}
 	return s
 }
 
@@ -58,6 +67,9 @@
 func (s *Stub) Refuse(n uint32, with With) { s.error(n, "Busy", with) }
 func (s *Stub) Failed(n uint32, with With) { s.error(n, "Failed", with) }
 
+// Denied is the error of an op that its caller may not ask for; with.Why says why in one word.
+func (s *Stub) Denied(n uint32, with With) { s.error(n, "Denied", with) }
+
 func (s *Stub) error(n uint32, name string, with With) {
 	b := append(answer(s.room(), n), 0x92)
 	b = appendStr(b, name)
@@ -99,6 +111,10 @@
 		b[at]++
 		b = appendStr(appendStr(b, "last"), "1")
 	}
+	if w.Why != "" {
+		b[at]++
+		b = appendStr(appendStr(b, "why"), w.Why)
+	}
 	return b
 }
 
@@ -133,7 +149,7 @@
 		case params == 2:
 			call = s.op(&r, uint32(n), method)
 		case params == 1 && method == "check":
-			_, deep := r.fields()
+			_, deep := s.fields(&r)
 			call = func() { s.OnCheck(uint32(n), deep) }
 		default:
 			r.bad = true
@@ -166,7 +182,7 @@
 const mostBody = 2 << 10
 
 func (s *Stub) op(r *unpack, n uint32, method string) func() {
-	ask, _ := r.fields()
+	ask, _ := s.fields(r)
 	ask.Type = method
 	body := r.blob()
 	if len(body) > mostBody || !r.short && !r.bad && len(ask.ID) != 16 {
@@ -183,7 +199,7 @@
 }
 
 // fields reads the map beside a body; deep is a health check's.
-func (r *unpack) fields() (ask Ask, deep bool) {
+func (s *Stub) fields(r *unpack) (ask Ask, deep bool) {
 	for i := r.mapping(); i > 0 && !r.bad && !r.short; i-- {
 		switch name := r.text(); string(name) {
 		case "id":
@@ -204,6 +220,16 @@
 			ask.KB = r.number()
 		case "rank":
 			ask.Rank = r.number()
+		case "token":
+			if !s.net.Tokens.Load() {
+				r.skip(0)
+				break
+			}
+			// The last one's text serves again: one comparison instead of some hundred new bytes for each op.
+			if text := r.text(); string(text) != s.token {
+				s.token = string(text)
+			}
+			ask.Token = s.token
 		case "deep":
 			deep = r.number() == 1
 		default:
