--- /dev/null
+++ b/cmd/lanewheel/callers_test.go
@@ -0,0 +1,469 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"lanewheel/internal/standin"
+)
+
+// house is a deployment that knows its callers, set up from nothing by the program's own commands.
+type house struct {
+	*town
+	dir  string
+	addr string // of the listener with TLS
+	file string
+}
+
+const houseFile = `[callers]
+writes = set
+[role crew]
+types = view, pay, list
+may = read, write
+open = 8
+[role slow]
+types = view
+may = read, write
+rate = 20
+burst = 2
+[caller water]
+match = uri:rota://water/*, token:water-*
+tenant = water
+roles = crew
+[caller roads]
+match = uri:rota://roads/*, token:roads-*
+tenant = roads
+roles = crew
+[caller slow]
+match = token:slow
+tenant = water
+roles = slow
+[tokens]
+keys = keys
+issuer = us
+audience = rota
+leeway = 1s
+look-every = 100ms
+revoked = revoked.txt
+[tls]
+listen = ADDR
+certificate = server.pem
+key = server.key
+authorities = ca/authority.pem
+revoked = ca/revoked.pem
+clients = asked
+`
+
+var houses int
+
+// do carries out a command of the program, which has to go well, and gives what it prints.
+func (h *house) do(args ...string) string {
+	text := run(args...)
+	if !strings.HasPrefix(text, "0 ") {
+		panic(fmt.Sprint(args, text))
+	}
+	return strings.TrimSpace(text[2:])
+}
+
+func (h *house) path(name string) string { return filepath.Join(h.dir, name) }
+
+func (h *house) put(name, text string) {
+	if err := os.WriteFile(h.path(name), []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+}
+
+// openHouse sets one up and has it serve; changes are pairs of text to replace in the operator's file.
+func openHouse(changes ...string) *house {
+	h := &house{dir: standin.Must(os.MkdirTemp(folder, "house"))}
+	houses++
+	h.addr = fmt.Sprintf("127.73.%d.%d:%d", os.Getpid()%250, houses, 9000+houses)
+	h.do("keys", "new", "--private", h.path("private"), "--id", "k1")
+	h.do("keys", "publish", h.path("private/k1.private"), "--folder", h.path("keys"))
+	h.do("cert", "authority", h.path("ca"))
+	h.do("cert", "issue", h.path("server"), "--authority", h.path("ca"), "--server", "--host", "127.0.0.1")
+	h.do("cert", "issue", h.path("water-7"), "--authority", h.path("ca"), "--uri", "rota://water/7")
+	h.put("revoked.txt", "# none\n")
+	h.file = strings.NewReplacer(append(changes, "ADDR", h.addr)...).Replace(houseFile)
+	h.put("op.ini", h.file)
+	operated = h.path("op.ini")
+	h.town = up(`"tenants":[]`, `"tenants":[{"name":"water"},{"name":"roads"}]`, `"retry-after":false`, `"retry-after":true,"max-retry-after-s":0.2`)
+	operated = ""
+	return h
+}
+
+// reloaded asks for a reload and waits until it is in force.
+func (h *house) reloaded() {
+	before := strings.Count(h.log.text(), "msg=operated")
+	h.hangUp()
+	standin.Until("the reload", func() bool { return strings.Count(h.log.text(), "msg=operated") > before })
+	h.stub().Check() // what was handed to the loop before is done
+}
+
+func (h *house) token(key, subject string, more ...string) string {
+	return h.do(append([]string{"token", "issue", "--key", h.path("private/" + key + ".private"), "--issuer", "us", "--audience", "rota",
+		"--subject", subject}, more...)...)
+}
+
+// client is a handheld's configuration with the certificate of that name, none if empty.
+func (h *house) client(name string) *tls.Config {
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(standin.Must(os.ReadFile(h.path("ca/authority.pem"))))
+	c := &tls.Config{RootCAs: roots, ServerName: "127.0.0.1", ClientSessionCache: tls.NewLRUClientSessionCache(8)}
+	if name != "" {
+		c.Certificates = []tls.Certificate{standin.Must(tls.LoadX509KeyPair(h.path(name+".pem"), h.path(name+".key")))}
+	}
+	return c
+}
+
+func (h *house) secure(c *tls.Config) (*standin.Stub, error) {
+	conn, err := tls.Dial("tcp", h.addr, c)
+	if err != nil {
+		return nil, err
+	}
+	return standin.NewStub(conn), nil
+}
+
+// asks sends one op and gives its answer without what rides on it; the runtime ends it if it comes there.
+func (h *house) asks(s *standin.Stub, n int, more ...string) string {
+	s.Send(standin.Op(n, "view", standin.ID(n), nil, append([]string{"kb", "1", "cost", "1"}, more...)...))
+	answers := make(chan string, 1)
+	go func() {
+		a, err := s.Answer()
+		switch {
+		case err != nil:
+			answers <- "closed"
+		case a.Error == "":
+			answers <- string(a.Result)
+		default:
+			answers <- strings.TrimSpace(fmt.Sprint(a.Error, " ", a.Fields["why"]))
+		}
+	}()
+	for {
+		select {
+		case said := <-answers:
+			return said
+		case line := <-h.rt.Lines:
+			if line["t"] == "start" {
+				h.rt.Notice("end", line["rid"].(string), "success", "done")
+			}
+		case <-time.After(standin.Patience):
+			panic("no answer")
+		}
+	}
+}
+
+// Who may what, by token and by certificate, and each denial said in one word; what is denied never runs.
+func Example_callers() {
+	h := openHouse()
+	defer h.close()
+	s := h.stub()
+	water, roads := h.token("k1", "water-1"), h.token("k1", "roads-1")
+	fmt.Println(h.asks(s, 1, "token", water, "tenant", "water"))
+	fmt.Println(h.asks(s, 2, "token", water))
+	fmt.Println(h.asks(s, 3, "token", roads, "tenant", "water"))
+	fmt.Println(h.asks(s, 4))
+	fmt.Println(h.asks(s, 5, "token", h.token("k1", "gas-1")))
+	fmt.Println(h.asks(s, 6, "token", h.token("k1", "water-1", "--for=-1m")))
+	fmt.Println(h.asks(s, 7, "token", water[:len(water)-8]+"AAAAAAAA"))
+	fmt.Println(h.asks(s, 8, "token", water, "key", "k")) // a read
+	t := standin.Must(h.secure(h.client("water-7")))
+	fmt.Println(h.asks(t, 9, "tenant", "water"), h.asks(t, 10, "tenant", "roads"))
+	t = standin.Must(h.secure(h.client("")))
+	fmt.Println(h.asks(t, 11, "token", water), h.asks(t, 12))
+	h.terminate()
+	s.Close()
+	t.Close()
+	code, log := h.ended()
+	fmt.Println(code, strings.Count(log, "msg=denied"), strings.Contains(log, water))
+	// Output:
+	// done
+	// done
+	// Denied tenant
+	// Denied no-identity
+	// Denied unmapped
+	// Denied expired
+	// Denied signature
+	// done
+	// done Denied tenant
+	// done Denied no-identity
+	// 0 7 false
+}
+
+// Reads of like key are shared within a tenant, never across: another tenant's read runs.
+func Example_sharedWithinTenant() {
+	h := openHouse()
+	defer h.close()
+	h.close()
+	operated = h.path("op.ini")
+	h.town = up("FRESH", "5", `"tenants":[]`, `"tenants":[{"name":"water"},{"name":"roads"}]`)
+	operated = ""
+	defer h.close()
+	s := h.stub()
+	for i, subject := range []string{"water-1", "water-2", "roads-1"} {
+		s.Send(standin.Op(i+1, "view", standin.ID(i+1), nil, "token", h.token("k1", subject), "key", "crew-9", "kb", "1"))
+		if i != 1 {
+			fmt.Println(h.rt.Hear())
+			h.rt.Notice("end", standin.ID(i+1), "success", "for "+subject)
+		}
+		fmt.Println(s.Hear())
+	}
+	// Output:
+	// start 1 route view body ""
+	// ['\x01' '\x01' <nil> ["for water-1" map[]]]
+	// ['\x01' '\x02' <nil> ["for water-1" map[]]]
+	// start 3 route view body ""
+	// ['\x01' '\x03' <nil> ["for roads-1" map[]]]
+}
+
+// A key is published before it signs and kept after it stops: an op under the old one is admitted until the told moment, by
+// instances that read it whenever; one under a key that is not read yet leads to a look, without a reload.
+func Example_rotation() {
+	h := openHouse()
+	defer h.close()
+	s := h.stub()
+	old := h.token("k1", "water-1")
+	h.do("keys", "new", "--private", h.path("private"), "--id", "k2", "--algorithm", "ES256")
+	h.do("keys", "publish", h.path("private/k2.private"), "--folder", h.path("keys"))
+	fmt.Println(h.asks(s, 1, "token", h.token("k2", "water-1")), h.asks(s, 2, "token", old))
+	at := time.Now().Add(1200 * time.Millisecond).Truncate(time.Second).Add(time.Second) // files tell whole seconds
+	h.do("keys", "retire", "k1", "--folder", h.path("keys"), "--at", at.Format(time.RFC3339))
+	h.reloaded()
+	n, wrong := 3, 0
+	for ; time.Now().Before(at.Add(200 * time.Millisecond)); n++ {
+		before := time.Now()
+		said := h.asks(s, n, "token", old)
+		after := time.Now()
+		if after.Before(at) && said != "done" || !before.Before(at) && said != "Denied retired-key" {
+			wrong++
+		}
+	}
+	fmt.Println("asked", n > 100, "wrong", wrong)
+	h.do("keys", "retire", "k2", "--folder", h.path("keys"), "--now")
+	h.reloaded()
+	fmt.Println(h.asks(s, n, "token", h.token("k2", "water-1")))
+	// Output:
+	// done done
+	// asked true wrong 0
+	// Denied withdrawn-key
+}
+
+// A certificate is taken back while an op is open on its connection: the op gets its answer, the next is denied unrun, the
+// connection ends, and neither a new handshake nor a resumed session gets in. Others go on.
+func Example_takenBack() {
+	h := openHouse()
+	defer h.close()
+	h.do("cert", "issue", h.path("water-8"), "--authority", h.path("ca"), "--uri", "rota://water/8")
+	c := h.client("water-7")
+	s := standin.Must(h.secure(c))
+	fmt.Println(h.asks(s, 1))
+	again := standin.Must(h.secure(c))
+	fmt.Println("resumed", again.Conn.(*tls.Conn).ConnectionState().DidResume, h.asks(again, 2))
+	other := standin.Must(h.secure(h.client("water-8")))
+	s.Send(standin.Op(3, "view", standin.ID(3), nil, "kb", "1"))
+	fmt.Println(h.rt.Hear())
+	h.do("cert", "revoke", h.path("water-7.pem"), "--authority", h.path("ca"))
+	h.reloaded()
+	s.Send(standin.Op(4, "view", standin.ID(4), nil, "kb", "1"))
+	heard := []string{s.Hear(), s.Hear()} // the asking may come before the op or behind it
+	slices.Sort(heard)
+	fmt.Println(heard)
+	h.rt.Notice("end", standin.ID(3), "success", "one")
+	fmt.Println(s.Hear(), s.Hear())
+	standin.Until("the end of the idle one", func() bool { return again.Hear() == "closed" })
+	fmt.Println(h.asks(other, 5), len(h.rt.Lines))
+	for range 2 {
+		late, err := h.secure(c)
+		if err == nil {
+			_, err = late.Answer()
+		}
+		fmt.Println(err != nil, strings.Contains(err.Error(), "bad certificate"))
+	}
+	// Output:
+	// done
+	// resumed true done
+	// start 3 route view body ""
+	// [['\x01' '\x04' ["Denied" map["why":"revoked"]] <nil>] ['\x02' "goaway" []]]
+	// ['\x01' '\x03' <nil> ["one" map[]]] closed
+	// done 0
+	// true true
+	// true true
+}
+
+// Reloads that come twice at once, half written, cut off behind a whole line, while leaving and while a handshake stands:
+// never half a change, and nothing is dropped.
+func Example_reloads() {
+	h := openHouse()
+	defer h.close()
+	s, water := h.stub(), h.token("k1", "water-1")
+	standing := standin.Must(net.Dial("tcp", h.addr)) // a handshake that stands
+	defer standing.Close()
+	kept := func() int { return strings.Count(h.log.text(), "msg=configuration-kept") }
+	for _, file := range []string{"op.ini", "keys/k1.json", "server.pem", "ca/revoked.pem", "ca/authority.pem"} {
+		whole := standin.Must(os.ReadFile(h.path(file)))
+		before := kept()
+		h.put(file, string(whole[:len(whole)*2/3]))
+		h.hangUp()
+		standin.Until("the refusal of "+file, func() bool { return kept() > before })
+		fmt.Println(h.asks(s, 1, "token", water))
+		before = strings.Count(h.log.text(), "msg=operated")
+		h.put(file, string(whole))
+		h.hangUp()
+		h.hangUp()
+		standin.Until("the reload", func() bool { return strings.Count(h.log.text(), "msg=operated") > before })
+	}
+	h.put("op.ini", strings.Replace(h.file, h.addr, "127.0.0.1:1", 1)) // holds from the next start
+	before := kept()
+	h.hangUp()
+	standin.Until("the refusal", func() bool { return kept() > before })
+	h.put("op.ini", strings.Replace(h.file, "roles = crew", "roles = slow", 1))
+	h.reloaded()
+	s.Send(standin.Op(2, "pay", standin.ID(2), nil, "token", water))
+	fmt.Println(s.Hear())
+	h.terminate()
+	h.put("op.ini", h.file)
+	h.hangUp()
+	fmt.Println(h.asks(s, 3, "token", h.token("k1", "water-2")) != "")
+	s.Close()
+	code, _ := h.ended()
+	fmt.Println(code)
+	// Output:
+	// done
+	// done
+	// done
+	// done
+	// done
+	// ['\x01' '\x02' ["Denied" map["why":"type"]] <nil>]
+	// true
+	// 0
+}
+
+// One identity that sends ten times its rate is nacked with a time to come back; its neighbour feels nothing. An op whose
+// token expires while it is held is answered all the same.
+func Example_rates() {
+	h := openHouse()
+	defer h.close()
+	slow, water := h.token("k1", "slow"), h.token("k1", "water-1")
+	s, other := h.stub(), h.stub()
+	said := map[string]int{}
+	began := time.Now()
+	n := 0
+	for ; time.Since(began) < 500*time.Millisecond; n += 2 {
+		said["slow "+h.asks(s, n+1, "token", slow)]++
+		said["water "+h.asks(other, n+2, "token", water)]++
+	}
+	fmt.Println(said["slow done"] <= 2+11, said["slow done"] >= 8, said["slow Busy <nil>"] > 10, said["water done"]*2 == n)
+	s.Send(standin.Op(9, "view", standin.ID(999999), nil, "token", slow), standin.Op(10, "view", standin.ID(999998), nil, "token", slow),
+		standin.Op(11, "view", standin.ID(999997), nil, "token", slow))
+	heard := ""
+	for range 2 { // at most two of the three are let in
+		heard += s.Hear()
+		h.rt.Notice("end", standin.ID(999999), "success", "x")
+		h.rt.Notice("end", standin.ID(999998), "success", "x")
+	}
+	fmt.Println(strings.Contains(heard, `["Busy" map["after":`))
+	short := h.token("k1", "water-1", "--for", "1s")
+	s = h.stub()
+	s.Send(standin.Op(12, "view", standin.ID(12), nil, "token", short, "cost", "1500"))
+	standin.Until("its start", func() bool { return strings.HasPrefix(h.rt.Hear(), "start c ") })
+	standin.Until("its expiry", func() bool { return h.asks(other, 13, "token", short) == "Denied expired" })
+	h.rt.Notice("end", standin.ID(12), "success", "late")
+	fmt.Println(s.Hear())
+	// Output:
+	// true true true true
+	// true
+	// ['\x01' '\f' <nil> ["late" map[]]]
+}
+
+// Hundreds of connections that stop in the handshake keep nobody out for long; half a handshake has an end.
+func Example_stalledHandshakes() {
+	h := openHouse("clients = asked", "clients = required\nhandshakes = 16\nhandshake-rate = 10000")
+	defer h.close()
+	var stalled []net.Conn
+	for range 200 {
+		c := standin.Must(net.Dial("tcp", h.addr))
+		stalled = append(stalled, c)
+		_, _ = c.Write([]byte{0x16, 3, 1, 0, 200, 1})
+	}
+	began := time.Now()
+	s := standin.Must(h.secure(h.client("water-7")))
+	fmt.Println(h.asks(s, 1), time.Since(began) < 4*time.Second)
+	for _, c := range stalled {
+		_ = c.SetReadDeadline(time.Now().Add(standin.Patience))
+		if _, err := c.Read(make([]byte, 64)); os.IsTimeout(err) {
+			panic("a handshake without end")
+		}
+		c.Close()
+	}
+	noise := standin.Must(net.Dial("tcp", h.addr))
+	_, _ = noise.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	standin.Until("its end", func() bool { return strings.Contains(h.log.text(), "code=handshake-failed") })
+	none, err := h.secure(h.client(""))
+	if err == nil { // the client hears of the refusal with its first read
+		_, err = none.Answer()
+	}
+	fmt.Println(strings.Contains(err.Error(), "certificate required"))
+	fmt.Println(h.asks(s, 2))
+	// Output:
+	// done true
+	// true
+	// done
+}
+
+// Forged tokens end the connections that bring them, while known callers are served.
+func Example_forged() {
+	h := openHouse()
+	defer h.close()
+	good := h.token("k1", "water-1")
+	s := h.stub()
+	fmt.Println(h.asks(s, 1, "token", good))
+	for k := range 5 {
+		bad := h.stub()
+		for i := range 40 {
+			if said := h.asks(bad, i+1, "token", fmt.Sprintf("%s%04d", good[:len(good)-4], 1000*k+i)); said == "closed" {
+				fmt.Print(i, " ")
+				break
+			} else if said != "Denied signature" {
+				panic(said)
+			}
+		}
+	}
+	fmt.Println(h.asks(s, 2, "token", good))
+	// Output:
+	// done
+	// 8 8 8 8 8 done
+}
+
+// A token of single use is good for one op; the second is a replay.
+func Example_singleUse() {
+	h := openHouse("revoked = revoked.txt", "single-use = yes\nsingle-use-remembered = 2")
+	defer h.close()
+	s := h.stub()
+	first := h.token("k1", "water-1", "--jti", "a", "--for", "2s")
+	fmt.Println(h.asks(s, 1, "token", first), h.asks(s, 2, "token", first))
+	fmt.Println(h.asks(s, 3, "token", h.token("k1", "water-1", "--jti", "b")), h.asks(s, 4, "token", h.token("k1", "water-1", "--jti", "c")))
+	// Output:
+	// done Denied replayed
+	// done Busy <nil>
+}
+
+// With nothing told of callers a token changes nothing, whatever form it has.
+func Example_callersOff() {
+	t := up()
+	defer t.close()
+	s := t.stub()
+	s.Send(standin.Op(1, "view", standin.ID(1), nil, "token", strings.Repeat("x", 3000)))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear())
+	// Output:
+	// start 1 route view body ""
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+}
--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -50,6 +50,7 @@
 var (
 	binary_, folder string
 	towns           int
+	operated        string // the operator's file of the next town
 )
 
 // build makes the program once for all tests.
@@ -91,6 +92,9 @@
 	t.path = filepath.Join(folder, fmt.Sprintf("%d.json", time.Now().UnixNano()))
 	t.write(text)
 	t.cmd = exec.Command(binary_)
+	if operated != "" {
+		t.cmd.Args = append(t.cmd.Args, "serve", "--operator", operated)
+	}
 	t.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+t.path)
 	t.cmd.Stdout, t.cmd.Stderr = t.log, t.log
 	if err := t.cmd.Start(); err != nil {
--- /dev/null
+++ b/cmd/lanewheel/rotation_test.go
@@ -0,0 +1,282 @@
+package main
+
+import (
+	"bytes"
+	"encoding/base64"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-jose/go-jose/v4"
+	"github.com/go-jose/go-jose/v4/jwt"
+
+	"lanewheel/internal/keyring"
+	"lanewheel/internal/standin"
+)
+
+// A long form turns the keys every minute:  go test -run Rotation ./cmd/lanewheel -rotate-for 10m -rotate-every 1m -timeout 20m
+var (
+	rotateFor   = flag.Duration("rotate-for", 6*time.Second, "how long the load of TestRotation goes on")
+	rotateEvery = flag.Duration("rotate-every", time.Second, "how often its keys turn; whole seconds")
+)
+
+// signing is a key as the test knows it: published before it signs, kept after it stops.
+type signing struct {
+	key    *jose.JSONWebKey
+	retire time.Time
+}
+
+// issuer turns keys and takes tokens back; it is also the oracle, which knows for each op what was right.
+type issuer struct {
+	h      *house
+	mu     sync.Mutex
+	now    *signing
+	serial int
+	taken  map[string][2]time.Time // jti to when the list was being written, and when it was in force
+	last   held                    // of an honest handheld's, to be taken back
+	lines  strings.Builder
+}
+
+// held is a token with all that makes it good or not.
+type held struct {
+	raw, id, subject string
+	expiry, retire   time.Time
+	forged           bool
+}
+
+func (i *issuer) sign(subject string, span time.Duration, forge string) held {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.serial++
+	h := held{id: fmt.Sprint("t", i.serial), subject: subject, retire: i.now.retire, expiry: time.Now().Add(span).Truncate(time.Second)}
+	key := *i.now.key
+	switch forge {
+	case "key": // signed by a key of its own under the id of ours
+		key = *standin.Must(keyring.New("EdDSA"))
+		key.KeyID = i.now.key.KeyID
+	case "id":
+		key = *standin.Must(keyring.New("EdDSA"))
+	}
+	s := standin.Must(jose.NewSigner(jose.SigningKey{Algorithm: jose.EdDSA, Key: key}, nil))
+	h.raw = standin.Must(jwt.Signed(s).Claims(jwt.Claims{Issuer: "us", Audience: jwt.Audience{"rota"}, Subject: subject, ID: h.id,
+		Expiry: jwt.NewNumericDate(h.expiry)}).Serialize())
+	h.forged = forge != ""
+	if forge == "body" {
+		parts := strings.Split(h.raw, ".")
+		body := standin.Must(base64.RawURLEncoding.DecodeString(parts[1]))
+		parts[1] = base64.RawURLEncoding.EncodeToString(bytes.Replace(body, []byte(subject), []byte("water-99"), 1))
+		h.raw = strings.Join(parts, ".")
+	}
+	if forge == "" && subject == "water-0" {
+		i.last = h
+	}
+	return h
+}
+
+// right tells what is right for an op at a moment: why it is to be denied, empty if it is not. unsure: a reload was under way.
+func (i *issuer) right(t held, tenant, kind string, at time.Time) (why string, unsure bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	taken, listed := i.taken[t.id]
+	switch {
+	case t.forged:
+		return "forged", false
+	case !at.Before(t.retire):
+		return "retired-key", false
+	case !at.Before(t.expiry.Add(time.Second)): // the leeway
+		return "expired", false
+	case listed && at.After(taken[0]):
+		return "revoked", taken[1].IsZero() || at.Before(taken[1])
+	case tenant != strings.Split(t.subject, "-")[0]:
+		return "tenant", false
+	case kind == "set":
+		return "type", false
+	}
+	return "", false
+}
+
+// turn publishes the next key, signs with it once it is there, and retires the one before a while after that.
+func (i *issuer) turn(n int) {
+	key := standin.Must(keyring.New("EdDSA"))
+	key.KeyID = fmt.Sprint("turn-", n)
+	retire := time.Now().Truncate(time.Second).Add(3*(*rotateEvery) + time.Second)
+	text := standin.Must(keyring.Publish(*key, time.Now().Add(-time.Second), retire, false))
+	if err := keyring.Write(filepath.Join(i.h.path("keys"), key.KeyID+".json"), text, 0o644); err != nil {
+		panic(err)
+	}
+	if n%2 == 0 { // every other one is found by a look
+		i.h.reload()
+	}
+	i.mu.Lock()
+	i.now = &signing{key: key, retire: retire}
+	i.mu.Unlock()
+}
+
+// takeBack revokes a token and waits until that is in force.
+func (i *issuer) takeBack(t held) {
+	i.mu.Lock()
+	i.taken[t.id] = [2]time.Time{time.Now(), {}}
+	fmt.Fprintln(&i.lines, "jti", t.id)
+	text := i.lines.String()
+	i.mu.Unlock()
+	if err := keyring.Write(i.h.path("revoked.txt"), []byte(text), 0o644); err != nil {
+		panic(err)
+	}
+	i.h.reload()
+	i.mu.Lock()
+	i.taken[t.id] = [2]time.Time{i.taken[t.id][0], time.Now()}
+	i.mu.Unlock()
+}
+
+// reload asks for a reload that reads what is there now, and waits for it.
+func (h *house) reload() {
+	for range 2 { // one reading may have begun before the files were written
+		before := strings.Count(h.log.text(), "msg=operated")
+		h.hangUp()
+		standin.Until("the reload", func() bool { return strings.Count(h.log.text(), "msg=operated") > before })
+	}
+}
+
+// score is what became of the ops, by how they came out and what was right.
+type score struct {
+	mu                                         sync.Mutex
+	asked, acked, denied, nacked, failed, lost int
+	wrong                                      []string
+	denials                                    map[string]int
+	deniedIDs                                  map[string]bool
+}
+
+// handheld asks one op after the other with tokens that it renews; an honest one has its own tenant and good tokens.
+func (s *score) handheld(i *issuer, k int, honest bool, end time.Time) {
+	chance := rand.New(rand.NewPCG(uint64(k), 7))
+	tenant, other := "water", "roads"
+	if k%2 == 1 {
+		tenant, other = other, tenant
+	}
+	conn := i.h.stub()
+	defer func() { conn.Close() }()
+	var t held
+	for n := 1; time.Now().Before(end); n++ {
+		claims, kind, forge := tenant, "view", ""
+		if !honest {
+			switch chance.IntN(6) {
+			case 0:
+				claims = other
+			case 1:
+				kind = "set"
+			case 2:
+				forge = [...]string{"key", "id", "body"}[chance.IntN(3)]
+			}
+		}
+		// A token is used until well past its end, so that both sides of the end are seen.
+		if t.raw == "" || forge != "" || t.forged || time.Since(t.expiry) > 1500*time.Millisecond || chance.IntN(200) == 0 {
+			t = i.sign(fmt.Sprint(tenant, "-", k), time.Duration(chance.IntN(8))*(*rotateEvery)/2+time.Second, forge)
+		}
+		id := fmt.Sprintf("%08x%08x", k, n)
+		before := time.Now()
+		conn.Send(standin.Op(n, kind, id, nil, "kb", "1", "cost", "1", "token", t.raw, "tenant", claims))
+		a, err := conn.Answer()
+		after := time.Now()
+		s.mu.Lock()
+		s.asked++
+		if err != nil || a.N != n {
+			s.lost++
+			conn = i.h.stub()
+			s.mu.Unlock()
+			t = held{}
+			continue
+		}
+		first, unsure := i.right(t, claims, kind, before)
+		last, alsoUnsure := i.right(t, claims, kind, after)
+		why, _ := a.Fields["why"].(string)
+		switch {
+		case a.Error == "Denied":
+			s.denied++
+			s.denials[why]++
+			s.deniedIDs[id] = true
+			if first == "" && last == "" && !unsure && !alsoUnsure {
+				s.wrong = append(s.wrong, fmt.Sprintf("refused %s %s of %s: %s", kind, claims, t.subject, why))
+			}
+		case a.Error == "Busy":
+			s.nacked++
+		default:
+			if a.Error == "" {
+				s.acked++
+			} else {
+				s.failed++
+			}
+			if first != "" && last != "" && !unsure && !alsoUnsure {
+				s.wrong = append(s.wrong, fmt.Sprintf("admitted %s %s of %s: should be %s", kind, claims, t.subject, first))
+			}
+		}
+		s.mu.Unlock()
+		if a.Error == "Denied" && strings.Contains(" signature unknown-key ", " "+why+" ") && honest {
+			conn.Close()
+			conn = i.h.stub()
+		}
+		time.Sleep(time.Duration(chance.IntN(20)) * time.Millisecond)
+	}
+}
+
+// Keys turn, tokens are taken back and files read anew under a few hundred ops a second from roads and water handhelds,
+// honest and not: no wrongful refusal, no wrongful admission, one answer each, and nothing that was denied ever runs.
+func TestRotation(t *testing.T) {
+	h := openHouse()
+	defer h.close()
+	var ran sync.Map
+	h.db.Work()
+	h.rt.Work(2, 500*time.Microsecond, 1, func(id, kind string) { ran.Store(id, kind) })
+	i := &issuer{h: h, taken: map[string][2]time.Time{}}
+	i.turn(0)
+	s := &score{denials: map[string]int{}, deniedIDs: map[string]bool{}}
+	end := time.Now().Add(*rotateFor)
+	var all sync.WaitGroup
+	for k := range 10 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			s.handheld(i, k, k < 6, end)
+		}()
+	}
+	for n := 1; time.Now().Before(end); n++ {
+		time.Sleep(*rotateEvery / 2)
+		i.mu.Lock()
+		last := i.last
+		i.mu.Unlock()
+		i.takeBack(last)
+		time.Sleep(*rotateEvery / 2)
+		i.turn(n)
+	}
+	all.Wait()
+	t.Logf("asked %d, acked %d, denied %d %v, nacked %d, failed %d, lost %d", s.asked, s.acked, s.denied, s.denials, s.nacked, s.failed, s.lost)
+	for _, w := range s.wrong[:min(len(s.wrong), 10)] {
+		t.Error(w)
+	}
+	for id := range s.deniedIDs {
+		if kind, there := ran.Load(id); there {
+			t.Errorf("%s was denied and ran as %s", id, kind)
+		}
+	}
+	switch {
+	case s.acked < 100 || s.denied < 50:
+		t.Error("too little was asked to tell")
+	case s.lost > 0:
+		t.Error("an op without an answer")
+	case s.failed > 0 || s.nacked*20 > s.asked:
+		t.Error("ops that failed, or more than one in twenty nacked")
+	}
+	for _, why := range []string{"tenant", "type", "signature", "unknown-key", "expired", "revoked"} {
+		if s.denials[why] == 0 {
+			t.Errorf("nothing was denied for %s", why)
+		}
+	}
+	h.terminate()
+	if code, _ := h.ended(); code != 0 {
+		t.Error("exit code", code)
+	}
+}
--- a/internal/operator/callers.go
+++ b/internal/operator/callers.go
@@ -151,7 +151,7 @@
 	s.count("remembered", &t.Bounds.Remembered, 16, 1_000_000)
 	t.Bounds.Waiting = 256 // as many ops as are checked in some tens of milliseconds
 	s.count("waiting", &t.Bounds.Waiting, 1, 4096)
-	t.Bounds.Share = 0.1 // of a core: a thousand checks a second
+	t.Bounds.Share = 0.1 // of a core: some hundred checks a second
 	s.number("share", &t.Bounds.Share, 0.001, 1)
 	t.Bounds.Every = time.Second
 	s.span("look-every", &t.Bounds.Every, 10*time.Millisecond, time.Hour)
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"lanewheel/internal/fault"
+)
+
+func must[T any](x T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+const good = `[callers]
+writes = set
+[role crew]
+types = view, set
+may = read, write
+rate = 5
+[caller water]
+match = uri:rota://water/*
+tenant = water
+roles = crew
+[tokens]
+keys = keys
+issuer = us
+audience = rota
+[tls]
+listen = 127.0.0.1:9443
+certificate = a.pem
+key = a.key
+authorities = ca.pem
+`
+
+// Defaults stand where nothing is said, and paths count from the file's folder; without a file everything is off.
+func Example() {
+	f := must(Parse("etc/op.ini", []byte(good)))
+	r := f.Callers.Roles[0]
+	fmt.Println(f.Callers.On, r.Rate, r.Burst, r.Open, f.Callers.Map[0].Match, f.Callers.Book != nil)
+	fmt.Println(f.Tokens.Keys, f.Tokens.Policy.Leeway, f.Tokens.Bounds.Remembered, f.TLS.Certificate, f.TLS.Oldest, f.TLS.Required, f.TLS.AllowOld)
+	f = must(Load(""))
+	fmt.Println(f.Callers.On, f.Tokens.On, f.TLS.On, f.Log.Format)
+	// Output:
+	// true 5 5 0 [uri:rota://water/*] true
+	// etc/keys 30s 8192 etc/a.pem 1.3 true false
+	// false false false text
+}
+
+// Every fault has its place; a value that needs another section is one too.
+func Example_faults() {
+	for _, change := range [][2]string{{"rate = 5", "rate = many"}, {"may = read, write", "may = wriet"}, {"roles = crew", "roles = crwe"},
+		{"match = uri:rota://water/*", "match = rota://water/*"}, {"keys = keys\n", ""}, {"listen = 127.0.0.1:9443", "listen = 9443"},
+		{"authorities = ca.pem", "revoked = list.pem"}, {"issuer = us", "issuer = us\nissuer = them"}, {"audience = rota", "audience = %(keys)s"},
+		{"[callers]", "stray = 1\n[callers]"}, {"[role crew]", "[role]\n[role crew]"}} {
+		_, err := Parse("op.ini", []byte(strings.Replace(good, change[0], change[1], 1)))
+		all, _ := err.(fault.List)
+		for _, f := range all {
+			fmt.Println(f)
+		}
+	}
+	// Output:
+	// op.ini:6: role crew.rate: is "many", wants a number from 0 to 1e+06
+	// op.ini:5: role crew.may: is "wriet", wants read, write or both
+	// op.ini:5: role crew.may: wants read, write or both
+	// op.ini:10: caller water.roles: is "crwe", is no role of this file; wants one of crew
+	// op.ini:8: caller water.match: is "rota://water/*", wants uri:, dns:, subject: or token: in front
+	// op.ini:11: tokens.keys: wants a path
+	// op.ini:16: tls.listen: is "9443", wants an address and a port, as 127.0.0.1:9443
+	// op.ini:15: tls.authorities: wants a path, as clients is required
+	// op.ini:19: tls.revoked: is "list.pem", wants authorities, which sign it
+	// op.ini:14: tokens.issuer: stands in line 13 already
+	// op.ini:1: stray: stands before the first section
+	// op.ini:3: role: is no section; wants caller NAME, callers, log, role NAME, tls, tokens
+}
+
+// The example that operators start from names every name there is.
+func TestExample(t *testing.T) {
+	text := must(os.ReadFile("../../deploy/edge.ini"))
+	if _, err := Parse("edge.ini", text); err != nil {
+		t.Fatal(err)
+	}
+	r := read("edge.ini", text)
+	r.log()
+	r.callers()
+	r.tokens()
+	r.tls()
+	for _, name := range []string{"log", "callers", "tokens", "tls", "role visitor", "caller water-handhelds"} {
+		s := r.section(name)
+		switch {
+		case name == "role visitor":
+			s.role()
+		case strings.HasPrefix(name, "caller "):
+			s.caller()
+		}
+		if !s.given() {
+			t.Errorf("the example has no [%s]", name)
+		}
+	}
+	for _, known := range []string{"callers.anonymous", "callers.writes", "callers.entries", "role visitor.rate", "role visitor.burst",
+		"role visitor.open", "role dispatch.tenants", "tokens.single-use", "tokens.share", "tls.stale-list", "tls.handshake-rate"} {
+		if r.lines[known] == 0 {
+			t.Errorf("the example has no %s", known)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("[log]\nformat = %(format)s\n[a\nb=c\n\"\"\"x\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse("f.ini", text)
+		if err == nil && file.Callers.On && file.Callers.Book == nil {
+			t.Fatal("callers without rights")
+		}
+	})
+}
--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -360,17 +360,14 @@
 	return e.open == 0 && (e.rate <= 0 || e.level+(now-e.since).Seconds()*e.rate >= e.burst)
 }
 
-// looks is how many entries are looked at for each one that wants room: two, so that the hand goes round faster than
-// the table fills.
-const looks = 2
+// Each entry that wants room has a few others looked at: two, so that the hand goes round faster than the table fills, and
+// more when it is full, but never so many that the loop feels it.
+const looks, looksFull = 2, 64
 
 // room makes room for one more entry. Danger: a table that grows with each identity ever seen. What is as good as new is
 // forgotten, a few looked at each time; if all are in use, the newcomer has to wait.
 func (g *Gate) room(now time.Duration) bool {
-	for range looks {
-		if len(g.clock) == 0 {
-			break
-		}
+	for n := 0; len(g.clock) > 0 && n < looksFull && (n < looks || len(g.table) >= g.most); n++ {
 		g.hand %= len(g.clock)
 		if u := g.clock[g.hand]; g.table[u].idle(now) {
 			delete(g.table, u)
--- /dev/null
+++ b/internal/rights/rights_test.go
@@ -0,0 +1,265 @@
+package rights
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lanewheel/choice"
+)
+
+// Property tests draw the same scenes each time.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func must[T any](x T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+var book = must(NewBook([]Role{
+	{Name: "crew", Types: []choice.OpType{"view", "set"}, Reads: true, Writes: true, Rate: 10, Burst: 2, Open: 3},
+	{Name: "viewer", Types: []choice.OpType{"view"}, Reads: true},
+	{Name: "desk", Types: []choice.OpType{Every}, Tenants: []choice.TenantID{Every}, Reads: true, Writes: true},
+}, []Caller{
+	{Title: "water", Match: []string{"uri:rota://water/*"}, Tenant: "water", Roles: []RoleName{"crew"}},
+	{Title: "foreman", Match: []string{"uri:rota://water/foreman", "token:desk-1"}, Tenant: "water", Roles: []RoleName{"desk"}},
+	{Title: "roads", Match: []string{"uri:rota://*"}, Tenant: "roads", Roles: []RoleName{"crew", "viewer"}},
+}, []choice.OpType{"set"}, nil))
+
+// Who a caller is, and what it may: a whole name goes before a start, a longer start before a shorter; a write that calls
+// itself a read stays a write; another tenant's op is denied.
+func Example() {
+	for _, c := range []struct {
+		name   Name
+		claim  choice.TenantID
+		roles  []RoleName
+		kind   choice.OpType
+		tenant choice.TenantID
+		write  bool
+	}{
+		{"uri:rota://water/7", "", nil, "set", "water", true},
+		{"uri:rota://water/7", "", nil, "set", "", true},
+		{"uri:rota://water/7", "", nil, "set", "roads", true},
+		{"uri:rota://roads/7", "", nil, "set", "water", true},
+		{"uri:rota://water/foreman", "", nil, "set", "roads", true},
+		{"token:x", "water", []RoleName{"viewer", "none"}, "view", "water", false},
+		{"token:x", "water", []RoleName{"viewer"}, "view", "water", true},
+		{"token:x", "water", []RoleName{"viewer"}, "set", "water", false},
+		{"token:x", "water", nil, "view", "water", false},
+		{"token:desk-1", "roads", []RoleName{"viewer"}, "any", "gas", true},
+	} {
+		w, why := book.Who([]Name{c.name}, c.claim, c.roles)
+		if why == "" {
+			var tenant choice.TenantID
+			_, tenant, why = book.May(&w, Ask{c.kind, c.tenant, c.write})
+			fmt.Printf("%s %s for %s: %q\n", c.name, c.kind, tenant, why)
+			continue
+		}
+		fmt.Printf("%s: %q\n", c.name, why)
+	}
+	_, why := book.Anonymous()
+	fmt.Println(why)
+	_, err := NewBook(nil, []Caller{{Title: "a", Match: []string{"uri:x"}, Roles: []RoleName{"none"}}}, nil, nil)
+	fmt.Println(err)
+	// Output:
+	// uri:rota://water/7 set for water: ""
+	// uri:rota://water/7 set for water: ""
+	// uri:rota://water/7 set for roads: "tenant"
+	// uri:rota://roads/7 set for water: "tenant"
+	// uri:rota://water/foreman set for roads: ""
+	// token:x view for water: ""
+	// token:x view for water: "write"
+	// token:x set for water: "type"
+	// token:x: "unmapped"
+	// token:desk-1 any for gas: ""
+	// no-identity
+	// caller "a": there is no role "none"
+}
+
+// An identity's rate, its ops in hand, and when it may come back; ten times its rate costs its neighbour nothing.
+func Example_gate() {
+	g := NewGate(10)
+	water, _ := book.Who([]Name{"uri:rota://water/7"}, "", nil)
+	other, _ := book.Who([]Name{"uri:rota://water/8"}, "", nil)
+	roles, _, _ := book.May(&water, Ask{"set", "water", true})
+	take := func(now time.Duration, w *Who) Pass {
+		p, after, in := g.Take(now, w, roles)
+		fmt.Println(now, w.Name, in, after)
+		return p
+	}
+	take(0, &water)
+	p := take(0, &water)
+	take(0, &water)
+	take(0, &other)
+	take(50*time.Millisecond, &water)
+	take(100*time.Millisecond, &water)
+	take(time.Second, &water) // its rate would allow it, but three are in hand
+	g.Give(time.Second, &p)
+	g.Give(time.Second, &p) // a second time gives nothing back
+	take(time.Second, &water)
+	fmt.Println(g.Open(water.Name, "crew"), g.Len())
+	// Output:
+	// 0s uri:rota://water/7 true 0s
+	// 0s uri:rota://water/7 true 0s
+	// 0s uri:rota://water/7 false 100ms
+	// 0s uri:rota://water/8 true 0s
+	// 50ms uri:rota://water/7 false 50ms
+	// 100ms uri:rota://water/7 true 0s
+	// 1s uri:rota://water/7 false 33.333333ms
+	// 1s uri:rota://water/7 true 0s
+	// 3 2
+}
+
+// A hundred thousand identities leave no more entries than told; who is in use is not forgotten for a newcomer.
+func Example_bounded() {
+	g := NewGate(300) // a hundred are refilling at a time
+	r := &Role{Name: "r", Rate: 10, Burst: 1}
+	turned := 0
+	for i := range 100_000 {
+		w := &Who{Name: Name(fmt.Sprint("token:", i))}
+		p, _, in := g.Take(time.Duration(i)*time.Millisecond, w, []*Role{r})
+		if !in {
+			turned++
+		}
+		g.Give(time.Duration(i)*time.Millisecond, &p)
+	}
+	fmt.Println(g.Len() <= 300, turned)
+	g = NewGate(2)
+	for i := range 3 {
+		_, after, in := g.Take(0, &Who{Name: Name(fmt.Sprint(i))}, []*Role{r})
+		fmt.Println(in, after)
+	}
+	// Output:
+	// true 0
+	// true 0s
+	// true 0s
+	// false 1s
+}
+
+// The book against rules read one by one.
+func TestBook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tenants := []choice.TenantID{"", "a", "b", Every}
+		kinds := []choice.OpType{"x", "y", Every}
+		var roles []Role
+		for i := range rapid.IntRange(1, 4).Draw(t, "roles") {
+			roles = append(roles, Role{Name: RoleName(fmt.Sprint("r", i)),
+				Tenants: rapid.SliceOfN(rapid.SampledFrom(tenants[1:]), 0, 2).Draw(t, "tenants"),
+				Types:   rapid.SliceOfN(rapid.SampledFrom(kinds), 1, 2).Draw(t, "types"),
+				Reads:   rapid.Bool().Draw(t, "reads"), Writes: rapid.Bool().Draw(t, "writes")})
+		}
+		var callers []Caller
+		used := map[string]bool{}
+		for i := range rapid.IntRange(0, 4).Draw(t, "callers") {
+			match := rapid.SampledFrom([]string{"uri:a", "uri:a*", "uri:ab", "uri:ab*", "uri:*", "dns:a", "token:*"}).Draw(t, "match")
+			if used[match] {
+				continue
+			}
+			used[match] = true
+			callers = append(callers, Caller{Title: fmt.Sprint("c", i), Match: []string{match},
+				Tenant: rapid.SampledFrom(tenants[:3]).Draw(t, "tenant"),
+				Roles:  []RoleName{roles[rapid.IntRange(0, len(roles)-1).Draw(t, "role")].Name}})
+		}
+		writes := rapid.SliceOfN(rapid.SampledFrom(kinds[:2]), 0, 1).Draw(t, "writes")
+		b := must(NewBook(roles, callers, writes, nil))
+		name := rapid.SampledFrom([]string{"uri:a", "uri:ab", "uri:abc", "uri:c", "dns:a", "dns:b", "token:q"}).Draw(t, "name")
+		ask := Ask{rapid.SampledFrom(kinds[:2]).Draw(t, "kind"), rapid.SampledFrom(tenants[:3]).Draw(t, "asks"), rapid.Bool().Draw(t, "write")}
+
+		best, length := -1, -1
+		for i, c := range callers {
+			m := c.Match[0]
+			if with, open := strings.CutSuffix(m, "*"); m == name {
+				best, length = i, math.MaxInt
+			} else if open && strings.HasPrefix(name, with) && len(with) > length {
+				best, length = i, len(with)
+			}
+		}
+		may := false
+		if best >= 0 {
+			c := callers[best]
+			r := roles[slices.IndexFunc(roles, func(r Role) bool { return r.Name == c.Roles[0] })]
+			tenant := ask.Tenant
+			if tenant == "" {
+				tenant = c.Tenant
+			}
+			write := ask.Write || slices.Contains(writes, ask.Type)
+			may = (tenant == c.Tenant || slices.Contains(r.Tenants, tenant) || slices.Contains(r.Tenants, Every)) &&
+				(slices.Contains(r.Types, ask.Type) || slices.Contains(r.Types, Every)) && (write && r.Writes || !write && r.Reads)
+		}
+		w, why := b.Who([]Name{Name(name)}, "", nil)
+		if why == "" {
+			_, _, why = b.May(&w, ask)
+		}
+		if may != (why == "") {
+			t.Fatalf("%s %+v: %q, want may %v", name, ask, why, may)
+		}
+	})
+}
+
+// The gate against a count of all that was ever let in: never more than burst and rate allow in any span, never more in hand
+// than told, nobody turned away who keeps to both, and who comes back when told is let in.
+func TestGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		role := &Role{Name: "r", Rate: rapid.Float64Range(1, 50).Draw(t, "rate"), Burst: rapid.Float64Range(1, 9).Draw(t, "burst"),
+			Open: rapid.IntRange(0, 4).Draw(t, "open")}
+		g := NewGate(4)
+		now := time.Duration(0)
+		var in []time.Duration
+		var open []Pass
+		w := &Who{Name: "a"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			if len(open) > 0 && rapid.Bool().Draw(t, "ends") {
+				g.Give(now, &open[0])
+				open = open[1:]
+				continue
+			}
+			p, after, let := g.Take(now, w, []*Role{role})
+			if let {
+				in, open = append(in, now), append(open, p)
+			}
+			if role.Open > 0 && len(open) > role.Open {
+				t.Fatal("more in hand than told")
+			}
+			for i := range in { // in any span up to now
+				if most := role.Burst + (now-in[i]).Seconds()*role.Rate + 1e-6; float64(len(in)-i) > most {
+					t.Fatalf("%d in %v, most %f", len(in)-i, now-in[i], most)
+				}
+			}
+			if !let && (role.Open == 0 || len(open) < role.Open) {
+				now += after + time.Microsecond
+				p, _, let := g.Take(now, w, []*Role{role})
+				if !let {
+					t.Fatalf("came back after %v and was turned away", after)
+				}
+				in, open = append(in, now), append(open, p)
+			}
+		}
+	})
+}
+
+func BenchmarkMayAndTake(b *testing.B) {
+	g := NewGate(10_000)
+	w, _ := book.Who([]Name{"uri:rota://water/7"}, "", nil)
+	b.ReportAllocs()
+	for i := range b.N {
+		roles, _, _ := book.May(&w, Ask{"set", "water", true})
+		now := time.Duration(i) * time.Second
+		p, _, in := g.Take(now, &w, roles)
+		if !in {
+			b.Fatal("turned away")
+		}
+		g.Give(now, &p)
+	}
+}
--- a/internal/tokens/office.go
+++ b/internal/tokens/office.go
@@ -152,6 +152,9 @@
 		if !same(key, e.key) { // another key under the old id proves nothing of this token
 			return "", false
 		}
+		if why := key.At(wall); why != "" {
+			return why, true
+		}
 		if o.revoked.Has(&e.Claims) {
 			return Revoked, true
 		}
--- /dev/null
+++ b/internal/tokens/tokens_test.go
@@ -0,0 +1,499 @@
+package tokens
+
+import (
+	"crypto/rsa"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-jose/go-jose/v4"
+	"github.com/go-jose/go-jose/v4/jwt"
+	"pgregory.net/rapid"
+
+	"lanewheel/internal/keyring"
+	"lanewheel/internal/rights"
+)
+
+// Property tests draw the same scenes each time.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func must[T any](x T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	policy = &Policy{Issuer: "us", Audience: "rota", Leeway: 30 * time.Second, Longest: 2048, Tenant: "tenant", Roles: "roles"}
+	pairs  = map[string]*jose.JSONWebKey{}
+)
+
+func pair(id, algorithm string) *jose.JSONWebKey {
+	if pairs[id] == nil {
+		pairs[id] = must(keyring.New(algorithm))
+		pairs[id].KeyID = id
+	}
+	return pairs[id]
+}
+
+// set publishes keys that count from start on; those with a ! are taken back.
+func set(ids ...string) *keyring.Set {
+	files := map[string][]byte{}
+	for _, id := range ids {
+		name, back := strings.CutSuffix(id, "!")
+		files[name+".json"] = must(keyring.Publish(*pair(name, "EdDSA"), start.Add(-time.Hour), start.Add(time.Hour), back))
+	}
+	return must(keyring.Read(files))
+}
+
+func finds(s *keyring.Set, wall time.Time) func(keyring.KeyID) (*keyring.Key, rights.Reason) {
+	r := keyring.NewRing(s, time.Second)
+	return func(id keyring.KeyID) (*keyring.Key, rights.Reason) { return r.Find(id, wall) }
+}
+
+// claims are those of a good token for an hour; change may change them.
+func claims(change func(*jwt.Claims)) jwt.Claims {
+	c := jwt.Claims{Issuer: "us", Subject: "depot", Audience: jwt.Audience{"rota"}, ID: "t1",
+		NotBefore: jwt.NewNumericDate(start), Expiry: jwt.NewNumericDate(start.Add(time.Minute))}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func signed(k *jose.JSONWebKey, c jwt.Claims, header map[jose.HeaderKey]any) string {
+	o := &jose.SignerOptions{ExtraHeaders: header}
+	s := must(jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Algorithm), Key: k}, o))
+	return must(jwt.Signed(s).Claims(c).Claims(map[string]any{"tenant": "water", "roles": []string{"crew"}}).Serialize())
+}
+
+// Each way in which a token proves nothing; the algorithm is the key's, whatever the token says.
+func Example_verify() {
+	ed, es, rs := pair("ed", "EdDSA"), pair("es", "ES256"), pair("rs", "RS256")
+	files := map[string][]byte{}
+	for _, k := range []*jose.JSONWebKey{ed, es, rs} {
+		files[k.KeyID] = must(keyring.Publish(*k, start, time.Time{}, false))
+	}
+	keys := must(keyring.Read(files))
+	// The public half of an RSA key as the secret of an HMAC; an Ed25519 signature under the id of another kind of key.
+	der := must(x509.MarshalPKIXPublicKey(rs.Public().Key.(*rsa.PublicKey)))
+	secret := pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: der})
+	hmac := must(jose.NewSigner(jose.SigningKey{Algorithm: jose.HS256, Key: jose.JSONWebKey{Key: secret, KeyID: "rs"}}, nil))
+	posing := *ed
+	posing.KeyID = "rs"
+	good := signed(ed, claims(nil), nil)
+	parts := strings.Split(good, ".")
+	b64 := func(s string) string { return base64.RawURLEncoding.EncodeToString([]byte(s)) }
+	show := func(name, raw string) {
+		c, why := Verify(raw, finds(keys, start), policy)
+		fmt.Printf("%s: %q %s %s %v\n", name, why, c.Subject, c.Tenant, c.Roles)
+	}
+	show("EdDSA", good)
+	show("ES256", signed(es, claims(nil), nil))
+	show("RS256", signed(rs, claims(nil), nil))
+	show("none", b64(`{"alg":"none","kid":"ed"}`)+"."+parts[1]+".")
+	show("hmac", must(jwt.Signed(hmac).Claims(claims(nil)).Serialize()))
+	show("posing", signed(&posing, claims(nil), nil))
+	show("crit", signed(ed, claims(nil), map[jose.HeaderKey]any{"crit": []string{"b64"}, "b64": true}))
+	show("forged", parts[0]+"."+parts[1]+"."+b64(strings.Repeat("x", 64)))
+	show("changed", parts[0]+"."+b64(`{"iss":"us","sub":"boss","aud":"rota","exp":1900000000}`)+"."+parts[2])
+	show("no key id", b64(`{"alg":"EdDSA"}`)+"."+parts[1]+"."+parts[2])
+	show("unknown", b64(`{"alg":"EdDSA","kid":"what"}`)+"."+parts[1]+"."+parts[2])
+	show("issuer", signed(ed, claims(func(c *jwt.Claims) { c.Issuer = "them" }), nil))
+	show("audience", signed(ed, claims(func(c *jwt.Claims) { c.Audience = nil }), nil))
+	show("subject", signed(ed, claims(func(c *jwt.Claims) { c.Subject = "" }), nil))
+	show("endless", signed(ed, claims(func(c *jwt.Claims) { c.Expiry = nil }), nil))
+	show("noise", "a.b.c")
+	show("long", good+strings.Repeat("A", 2048))
+	// Output:
+	// EdDSA: "" depot water [crew]
+	// ES256: "" depot water [crew]
+	// RS256: "" depot water [crew]
+	// none: "algorithm"   []
+	// hmac: "algorithm"   []
+	// posing: "algorithm"   []
+	// crit: "critical"   []
+	// forged: "signature"   []
+	// changed: "signature"   []
+	// no key id: "malformed"   []
+	// unknown: "unknown-key"   []
+	// issuer: "issuer"   []
+	// audience: "audience"   []
+	// subject: "subject"   []
+	// endless: "malformed"   []
+	// noise: "malformed"   []
+	// long: "too-long"   []
+}
+
+var bounds = Bounds{Remembered: 16, Waiting: 4, Share: 0.1, Once: 3, Every: time.Second}
+
+// desk drives an office as a door would: checks are made at once unless they are held.
+type desk struct {
+	*Office
+	now    time.Duration
+	wall   time.Time
+	folder *keyring.Set // what a look finds
+	cost   time.Duration
+	checks int
+	looks  int
+	held   bool
+	waits  []string
+}
+
+func newDesk(ids ...string) *desk {
+	s := set(ids...)
+	return &desk{Office: NewOffice(s, policy, nil, bounds), wall: start, folder: s}
+}
+
+func (d *desk) pass(t time.Duration) { d.now, d.wall = d.now+t, d.wall.Add(t) }
+
+func (d *desk) act(a Act, raw string) {
+	switch a {
+	case Check:
+		if d.held {
+			d.waits = append(d.waits, raw)
+			return
+		}
+		d.check(raw)
+	case Look:
+		d.looks++
+		for _, raw := range d.Looked(d.folder) {
+			d.act(Check, raw)
+		}
+	}
+}
+
+func (d *desk) check(raw string) {
+	d.checks++
+	s := d.Ring.Set()
+	c, why := Verify(raw, func(id keyring.KeyID) (*keyring.Key, rights.Reason) {
+		if k := s.Find(id); k != nil {
+			return k, k.At(d.wall)
+		}
+		return nil, keyring.Unknown
+	}, d.Policy())
+	a, raw := d.Checked(d.now, d.wall, Result{Raw: raw, Claims: c, Why: why, Took: d.cost, Set: s})
+	d.act(a, raw)
+}
+
+// ask gives the verdict on a token as text.
+func (d *desk) ask(raw string) string {
+	say := "waits"
+	tell := func(e *Entry, why rights.Reason, after time.Duration) {
+		switch {
+		case why != "":
+			say = string(why)
+		case e != nil:
+			say = "good"
+		default:
+			say = "later " + after.Round(time.Millisecond).String()
+		}
+	}
+	if e, why, known := d.Know(d.now, d.wall, raw); known {
+		tell(e, why, 0)
+		return say
+	}
+	d.act(d.Ask(d.now, raw, false, tell))
+	return say
+}
+
+// Under an old key until the told moment, and not after, whenever the folder was read; a token that is remembered is not
+// checked again until something changes, and then only what has changed.
+func Example_remembered() {
+	d := newDesk("a", "b")
+	long := func(id string) string {
+		return signed(pair(id, "EdDSA"), claims(func(c *jwt.Claims) { c.Expiry = jwt.NewNumericDate(start.Add(9 * time.Hour)) }), nil)
+	}
+	a, b := long("a"), long("b")
+	fmt.Println(d.ask(a), d.ask(a), d.ask(b), "checks", d.checks)
+	d.Replace(set("a", "b", "c"), policy, nil, bounds)
+	fmt.Println(d.ask(a), d.ask(b), "checks", d.checks)
+	d.pass(time.Hour - time.Nanosecond)
+	fmt.Println(d.ask(a))
+	d.pass(time.Nanosecond)
+	fmt.Println(d.ask(a), "checks", d.checks)
+	d = newDesk("a", "b")
+	fmt.Println(d.ask(a), d.ask(b))
+	d.Replace(set("a!", "c"), policy, nil, bounds)
+	fmt.Println(d.ask(a), d.ask(b))
+	d = newDesk("a")
+	d.ask(a)
+	r, _ := ReadRevocations("# taken back\njti t1\n\nsub nobody")
+	d.Replace(set("a"), policy, r, bounds)
+	fmt.Println(d.ask(a))
+	_, line := ReadRevocations("jti x\njti")
+	fmt.Println("wrong line", line)
+	// Output:
+	// good good good checks 2
+	// good good checks 2
+	// good
+	// retired-key checks 2
+	// good good
+	// withdrawn-key withdrawn-key
+	// revoked
+	// wrong line 2
+}
+
+// Clocks that differ by the leeway and by more; a clock that steps back keeps no remembered token alive.
+func Example_clocks() {
+	raw := signed(pair("a", "EdDSA"), claims(nil), nil)
+	for _, off := range []time.Duration{-31 * time.Second, -30 * time.Second, 0, 90*time.Second - 1, 90 * time.Second} {
+		d := newDesk("a")
+		d.pass(off)
+		d.now = 0
+		fmt.Println(off, d.ask(raw))
+	}
+	d := newDesk("a")
+	fmt.Print(d.ask(raw), " ")
+	d.pass(2 * time.Minute)
+	d.wall = start // an hour's step back would do the same
+	fmt.Println(d.ask(raw))
+	// Output:
+	// -31s early
+	// -30s good
+	// 0s good
+	// 1m29.999999999s good
+	// 1m30s expired
+	// good expired
+}
+
+// A token under a key that is not read yet: one look at the folder finds it. Forged ids lead to a look a second, and a key
+// that is published right after one is told when to come again, not denied.
+func Example_unknownKey() {
+	d := newDesk("a")
+	d.folder = set("a", "b")
+	fmt.Println(d.ask(signed(pair("b", "EdDSA"), claims(nil), nil)), "looks", d.looks)
+	for i := range 50 {
+		raw := signed(pair(fmt.Sprint("x", i), "EdDSA"), claims(nil), nil)
+		if said := d.ask(raw); said != "later 1s" {
+			fmt.Println(said)
+		}
+	}
+	d.pass(time.Second)
+	raw := signed(pair("y", "EdDSA"), claims(nil), nil)
+	fmt.Println(d.ask(raw), d.ask(raw), "looks", d.looks)
+	d.folder = set("a", "b", "y")
+	d.pass(time.Second)
+	fmt.Println(d.ask(raw), "looks", d.looks)
+	// Output:
+	// good looks 1
+	// unknown-key unknown-key looks 2
+	// good looks 3
+}
+
+// A look that was begun before the keys were replaced does not bring the older ones back.
+func Example_overtakenLook() {
+	d := newDesk("a")
+	raw := signed(pair("n", "EdDSA"), claims(nil), nil)
+	d.held = true
+	fmt.Println(d.ask(raw))
+	s := d.Ring.Set()
+	act, _ := d.Checked(0, start, Result{Raw: raw, Claims: Claims{Key: "n"}, Why: keyring.Unknown, Set: s})
+	old := set("a")
+	d.Replace(set("a", "n"), policy, nil, bounds)
+	again := d.Looked(old)
+	fmt.Println(act == Look, len(again), len(d.Ring.Set().Keys()))
+	// Output:
+	// waits
+	// true 1 2
+}
+
+// A flood of forged tokens takes no more than its share of time; those who have brought nothing bad still get their checks, and
+// what is known costs none. What waits has a bound and an end.
+func Example_flood() {
+	d := newDesk("a")
+	d.cost = time.Millisecond
+	good := signed(pair("a", "EdDSA"), claims(nil), nil)
+	fmt.Println(d.ask(good))
+	parts := strings.Split(good, ".")
+	turned := 0
+	for i := range 100_000 {
+		d.pass(10 * time.Microsecond)
+		raw := fmt.Sprintf("%s.%s.%s", parts[0], parts[1], base64.RawURLEncoding.EncodeToString(fmt.Appendf(nil, "%064d", i)))
+		act, raw := d.Ask(d.now, raw, true, func(e *Entry, why rights.Reason, after time.Duration) {
+			if why == "" {
+				turned++
+			}
+		})
+		if act == Check {
+			d.checks++
+			a, _ := d.Checked(d.now, d.wall, Result{Raw: raw, Suspect: true, Why: Signature, Took: d.cost, Set: d.Ring.Set()})
+			if a != Nothing {
+				panic(a)
+			}
+		}
+	}
+	_, bad := d.Remembered()
+	fmt.Println("checks", d.checks <= 102, turned > 99_000, "bad", bad <= bounds.Remembered, d.ask(good))
+	fresh := signed(pair("a", "EdDSA"), claims(func(c *jwt.Claims) { c.ID = "t2" }), nil)
+	fmt.Println(d.ask(fresh))
+	d.held = true
+	for i := range 6 {
+		fmt.Print(d.ask(signed(pair("a", "EdDSA"), claims(func(c *jwt.Claims) { c.ID = fmt.Sprint(i) }), nil)), " ")
+	}
+	fmt.Println(d.Waiting())
+	d.Expire(d.now+patience, false)
+	fmt.Println(d.Waiting())
+	// Output:
+	// good
+	// checks true true bad true good
+	// good
+	// waits waits waits waits later 20ms later 20ms 4
+	// 0
+}
+
+// A token of single use counts once. At the bound nothing is forgotten before it expires: newcomers have to wait; and a clock
+// that steps back makes no id new that was forgotten.
+func Example_once() {
+	o := newOnce(2)
+	say := func(wall time.Duration, id string, expires time.Duration) {
+		why, after := o.use(start.Add(wall), id, start.Add(expires))
+		fmt.Printf("%s at %v: %q %v\n", id, wall, why, after)
+	}
+	say(0, "a", 10*time.Second)
+	say(0, "a", 10*time.Second)
+	say(0, "b", 20*time.Second)
+	say(0, "c", 30*time.Second)
+	say(10*time.Second, "c", 30*time.Second)
+	say(0, "a", 10*time.Second)
+	// Output:
+	// a at 0s: "" 0s
+	// a at 0s: "replayed" 0s
+	// b at 0s: "" 0s
+	// c at 0s: "" 10s
+	// c at 10s: "" 0s
+	// a at 0s: "expired" 0s
+}
+
+// The office against the rules read afresh for each ask: whatever is remembered, reloaded and taken back, the same verdict.
+func TestOffice(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	raws := map[string]string{}
+	for _, id := range ids {
+		for i := range 3 {
+			raws[fmt.Sprint(id, i)] = signed(pair(id, "EdDSA"), claims(func(c *jwt.Claims) {
+				c.ID = fmt.Sprint(id, i)
+				c.Expiry = jwt.NewNumericDate(start.Add(time.Duration(i+1) * 20 * time.Minute))
+			}), nil)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDesk("a")
+		folder, gone := []string{"a"}, map[string]bool{}
+		revoked := map[string]bool{}
+		for range 30 {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				before := folder
+				folder = nil
+				text := ""
+				for _, id := range ids {
+					if mark := rapid.SampledFrom([]string{"", id, id + "!"}).Draw(t, "key"); mark != "" {
+						folder = append(folder, mark)
+					}
+				}
+				revoked = map[string]bool{}
+				if id := rapid.SampledFrom([]string{"", "a0", "b1"}).Draw(t, "revoked"); id != "" {
+					revoked[id] = true
+					text = "jti " + id
+				}
+				for _, mark := range before {
+					gone[strings.TrimSuffix(mark, "!")] = true
+				}
+				r, _ := ReadRevocations(text)
+				d.folder = set(folder...)
+				d.Replace(d.folder, policy, r, bounds)
+			case 1:
+				d.pass(time.Duration(rapid.IntRange(1, 9).Draw(t, "minutes")) * time.Minute)
+			default:
+				id := rapid.SampledFrom(ids).Draw(t, "id")
+				i := rapid.IntRange(0, 2).Draw(t, "nth")
+				want := "good"
+				there := ""
+				for _, mark := range folder {
+					if strings.TrimSuffix(mark, "!") == id {
+						there = mark
+					}
+				}
+				at := d.wall.Sub(start)
+				switch {
+				case there == "" && gone[id], strings.HasSuffix(there, "!"):
+					want = "withdrawn-key"
+				case there == "":
+					want = "unknown-key"
+				case at >= time.Hour:
+					want = "retired-key"
+				case at >= time.Duration(i+1)*20*time.Minute+policy.Leeway:
+					want = "expired"
+				case revoked[fmt.Sprint(id, i)]:
+					want = "revoked"
+				}
+				if said := d.ask(raws[fmt.Sprint(id, i)]); said != want && !strings.HasPrefix(said, "later") {
+					t.Fatalf("%s%d at %v: %s, want %s", id, i, at, said, want)
+				}
+			}
+			if good, bad := d.Remembered(); good > bounds.Remembered || bad > bounds.Remembered || d.Waiting() != 0 {
+				t.Fatal("past its bounds")
+			}
+		}
+	})
+}
+
+func FuzzVerify(f *testing.F) {
+	good := signed(pair("a", "EdDSA"), claims(nil), nil)
+	f.Add(good)
+	f.Add("eyJhbGciOiJub25lIiwia2lkIjoiYSJ9.e30.")
+	find := finds(set("a"), start)
+	f.Fuzz(func(t *testing.T, raw string) {
+		if c, why := Verify(raw, find, policy); why == "" && c.Subject != "depot" {
+			t.Fatalf("%q is good for %q", raw, c.Subject)
+		}
+	})
+}
+
+func BenchmarkVerify(b *testing.B) {
+	for _, algorithm := range []string{"EdDSA", "ES256", "RS256"} {
+		k := pair("bench-"+algorithm, algorithm)
+		find := finds(must(keyring.Read(map[string][]byte{"k": must(keyring.Publish(*k, time.Time{}, time.Time{}, false))})), start)
+		raw := signed(k, claims(nil), nil)
+		b.Run(algorithm, func(b *testing.B) {
+			for range b.N {
+				if _, why := Verify(raw, find, policy); why != "" {
+					b.Fatal(why)
+				}
+			}
+		})
+	}
+}
+
+// What a remembered token costs an op: found by its digest, and on the connection that brought it last.
+func BenchmarkRemembered(b *testing.B) {
+	d := newDesk("a")
+	raw := signed(pair("a", "EdDSA"), claims(nil), nil)
+	d.ask(raw)
+	e, _, _ := d.Know(d.now, d.wall, raw)
+	b.Run("by digest", func(b *testing.B) {
+		for range b.N {
+			if _, why, known := d.Know(d.now, d.wall, raw); why != "" || !known {
+				b.Fatal(why)
+			}
+		}
+	})
+	b.Run("by connection", func(b *testing.B) {
+		for range b.N {
+			if why, sure := d.Still(d.now, d.wall, e); why != "" || !sure {
+				b.Fatal(why)
+			}
+		}
+	})
+}
--- a/internal/wire/secure.go
+++ b/internal/wire/secure.go
@@ -24,7 +24,7 @@
 	Listen string
 	// Config gives what is in force for the next handshake; it is not changed once given.
 	Config func() *tls.Config
-	// Prove follows a client's chain, nil if it sent none, and gives what it proves or a code for why it does not.
+	// Prove follows a client's chain and gives what it proves or a code for why it does not.
 	Prove func(chain []*x509.Certificate) (proof any, code string)
 	Most  int64   // handshakes at a time
 	Rate  float64 // handshakes a second
@@ -52,6 +52,9 @@
 		c := s.Config().Clone()
 		// Called for a resumed session too. Danger: one that goes on after its certificate was taken back.
 		c.VerifyConnection = func(state tls.ConnectionState) error {
+			if len(state.PeerCertificates) == 0 { // where one is required, TLS has seen to it
+				return nil
+			}
 			var code string
 			if p.proof, code = s.Prove(state.PeerCertificates); code != "" {
 				return refusal(code)
