--- /dev/null
+++ b/cmd/lanewheel/bench_test.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lanewheel/internal/standin"
+)
+
+// spent is the CPU that a process has used, in the kernel's ticks of 10 ms.
+func spent(pid int) time.Duration {
+	text := string(standin.Must(os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))))
+	f := strings.Fields(text[strings.LastIndexByte(text, ')')+2:])
+	return time.Duration(standin.Must(strconv.Atoi(f[11]))+standin.Must(strconv.Atoi(f[12]))) * 10 * time.Millisecond
+}
+
+// resident is what a process holds, in KB.
+func resident(pid int) int {
+	_, rest, _ := strings.Cut(string(standin.Must(os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)))), "VmRSS:")
+	return standin.Must(strconv.Atoi(strings.Fields(rest)[0]))
+}
+
+// quick has the runtime end each run at once.
+func (t *town) quick() {
+	go func() {
+		for line := range t.rt.Lines {
+			if line["t"] == "start" {
+				t.rt.Notice("end", line["rid"].(string), "success", "res")
+			}
+		}
+	}()
+}
+
+// roomy are changes of a town's configuration that have nothing nacked.
+var roomy = []string{`"cpus":2`, `"cpus":64`, `"memory-kb":1900`, `"memory-kb":1900000`, `"sockets":64`, `"sockets":1024`}
+
+// flow sends ops on connections, eight open on each, until count are answered, and gives how many were not acked.
+func flow(dial func() *standin.Stub, conns, count int, token string) int64 {
+	var asked, other atomic.Int64
+	var all sync.WaitGroup
+	for k := range conns {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			s := dial()
+			defer s.Close()
+			n, open := 0, 0
+			for {
+				for open < 8 && asked.Add(1) <= int64(count) {
+					n++
+					open++
+					more := []string{"from", fmt.Sprint(k + 1), "kb", "1"}
+					if token != "" {
+						more = append(more, "token", token)
+					}
+					s.Send(standin.Op(n, "view", fmt.Sprintf("%08x%08x", k, n), []byte("body of some length"), more...))
+				}
+				if open == 0 {
+					return
+				}
+				if a, err := s.Answer(); err != nil {
+					panic(err)
+				} else if a.Error != "" {
+					other.Add(1)
+				}
+				open--
+			}
+		}()
+	}
+	all.Wait()
+	return other.Load()
+}
+
+// What an op costs an instance: without callers, with a remembered token, under TLS, and under both.
+//
+//	go test -run xxx -bench Op -benchtime 60000x ./cmd/lanewheel
+func BenchmarkOp(b *testing.B) {
+	for _, how := range []string{"plain", "token", "tls", "tls and token"} {
+		b.Run(how, func(b *testing.B) {
+			var t *town
+			token := ""
+			dial := func() *standin.Stub { return t.stub() }
+			if how == "plain" {
+				t = up(roomy...)
+			} else {
+				h := openHouse("open = 8", "open = 0", "clients = asked", "clients = asked\nhandshake-rate = 10000")
+				h.close()
+				operated = h.path("op.ini")
+				h.town = up(append(roomy, `"tenants":[]`, `"tenants":[{"name":"water"},{"name":"roads"}]`)...)
+				operated = ""
+				t = h.town
+				if how != "tls" {
+					token = h.token("k1", "water-1", "--for", "10h")
+				}
+				if how != "token" {
+					c := h.client("water-7")
+					dial = func() *standin.Stub { return standin.Must(h.secure(c)) }
+				}
+			}
+			defer t.close()
+			t.quick()
+			flow(dial, 16, 2000, token)
+			before := spent(t.cmd.Process.Pid)
+			b.ResetTimer()
+			turned := flow(dial, 16, b.N, token)
+			b.StopTimer()
+			b.ReportMetric(float64((spent(t.cmd.Process.Pid)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+			b.ReportMetric(float64(turned)/float64(b.N), "turned/op")
+		})
+	}
+}
+
+// What a connection holds at rest: plain, and under TLS with a client's certificate.
+//
+//	go test -run xxx -bench Connections -benchtime 1x ./cmd/lanewheel
+func BenchmarkConnections(b *testing.B) {
+	const many = 500
+	for _, how := range []string{"plain", "tls"} {
+		b.Run(how, func(b *testing.B) {
+			h := openHouse("clients = asked", "clients = asked\nhandshake-rate = 10000")
+			h.close()
+			operated = h.path("op.ini")
+			h.town = up(roomy...)
+			operated = ""
+			defer h.close()
+			before := resident(h.cmd.Process.Pid)
+			c := h.client("water-7")
+			for range many {
+				s := h.stub
+				if how == "tls" {
+					s = func() *standin.Stub { return standin.Must(h.secure(c)) }
+				}
+				one := s()
+				one.Check()
+				defer one.Close()
+			}
+			b.ReportMetric(float64(before)/1024, "MB-at-rest")
+			b.ReportMetric(float64(resident(h.cmd.Process.Pid)-before)/many, "KB/connection")
+		})
+	}
+}
+
+// How a known caller fares, 200 ops a second on one connection, without and with a flood of forged tokens from four others.
+//
+//	go test -run xxx -bench Forged -benchtime 2000x ./cmd/lanewheel
+func BenchmarkForged(b *testing.B) {
+	for _, flooded := range []bool{false, true} {
+		b.Run(fmt.Sprint("flood ", flooded), func(b *testing.B) {
+			h := openHouse()
+			defer h.close()
+			h.quick()
+			good := h.token("k1", "water-1", "--for", "10h")
+			var stop atomic.Bool
+			var forged atomic.Int64
+			var all sync.WaitGroup
+			for k := range 4 {
+				if !flooded {
+					break
+				}
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					for n := 0; !stop.Load(); {
+						s := h.town.stub()
+						for range 8 { // as many as end a connection
+							n++
+							s.Send(standin.Op(n, "view", fmt.Sprintf("%08x%08x", k+9, n), nil, "kb", "1",
+								"token", fmt.Sprintf("%s%d%07d", good[:len(good)-8], k, n%10_000_000)))
+							if _, err := s.Answer(); err != nil {
+								break
+							}
+							forged.Add(1)
+						}
+						s.Close()
+					}
+				}()
+			}
+			s := h.stub()
+			took := hdrhistogram.New(1, 60e6, 3)
+			before := spent(h.cmd.Process.Pid)
+			b.ResetTimer()
+			began := time.Now()
+			for n := range b.N {
+				time.Sleep(time.Until(began.Add(time.Duration(n) * 5 * time.Millisecond)))
+				at := time.Now()
+				s.Send(standin.Op(n+2, "view", fmt.Sprintf("%08x%08x", 1, n), nil, "kb", "1", "token", good))
+				if a, err := s.Answer(); err != nil || a.Error != "" {
+					b.Fatal(a, err)
+				}
+				_ = took.RecordValue(time.Since(at).Microseconds())
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(took.ValueAtQuantile(50))/1e3, "median-ms")
+			b.ReportMetric(float64(took.ValueAtQuantile(99))/1e3, "99th-ms")
+			b.ReportMetric(float64(forged.Load())/time.Since(began).Seconds(), "forged/s")
+			b.ReportMetric((spent(h.cmd.Process.Pid) - before).Seconds()/time.Since(began).Seconds(), "cores")
+			stop.Store(true)
+			all.Wait()
+		})
+	}
+}
--- a/cmd/lanewheel/callers_test.go
+++ b/cmd/lanewheel/callers_test.go
@@ -99,6 +99,13 @@
 	return h
 }
 
+// stub gives a connection on which something was said: commands that take long do not make it a silent one.
+func (h *house) stub() *standin.Stub {
+	s := h.town.stub()
+	s.Check()
+	return s
+}
+
 // reloaded asks for a reload and waits until it is in force.
 func (h *house) reloaded() {
 	before := strings.Count(h.log.text(), "msg=operated")
