--- a/cmd/lanewheel/callers_test.go
+++ b/cmd/lanewheel/callers_test.go
@@ -424,6 +424,30 @@
 	// done
 }
 
+// Ops whose callers leave while a token is being checked, by interrupt and by closing: neither runs, and the ids are free again.
+func Example_goneAtTheDoor() {
+	h := openHouse()
+	defer h.close()
+	fresh := func() string { return h.token("k1", "water-1") }
+	one, two, three := fresh(), fresh(), fresh()
+	s, closed := h.stub(), h.stub()
+	s.Send(standin.Op(2, "view", standin.ID(1), nil, "token", one, "kb", "1"), []any{2, "interrupt", []any{2}})
+	closed.Send(standin.Op(2, "view", standin.ID(2), nil, "token", two, "kb", "1"))
+	closed.Close()
+	standin.Until("the end of it", func() bool { return strings.Contains(h.log.text(), "code=peer-closed") })
+	s.Send(standin.Op(3, "view", standin.ID(3), nil, "token", three, "kb", "1"))
+	heard := h.rt.Hear()
+	for strings.HasPrefix(heard, "start 2 ") || strings.HasPrefix(heard, "stop 2") { // its check was over before the close came
+		heard = h.rt.Hear()
+	}
+	fmt.Println(heard)
+	h.rt.Notice("end", standin.ID(3), "success", "three")
+	fmt.Println(s.Hear())
+	// Output:
+	// start 3 route view body ""
+	// ['\x01' '\x03' <nil> ["three" map[]]]
+}
+
 // Forged tokens end the connections that bring them, while known callers are served.
 func Example_forged() {
 	h := openHouse()
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -39,7 +39,7 @@
 	runtime.GOMAXPROCS(int(math.Ceil(told.Cores)))
 	// Half the limit: the rest is for what the kernel and the binary itself take.
 	debug.SetMemoryLimit(int64(told.MemoryMB * (1 << 19)))
-	k := &keeper{path: path, operated: operated, with: with}
+	k := &keeper{path: path, operated: operated, with: with, pause: func() { time.Sleep(still) }}
 	told.Callers, told.Secure = with.Callers, with.listener(&k.server)
 	if k.in, err = keep.Open(told); err != nil {
 		return err
@@ -60,6 +60,7 @@
 	operated string   // of the operator's file, empty if there is none
 	with     Operated // what is in force of it
 	server   atomic.Pointer[tls.Config]
+	pause    func() // between two readings: for as long as still
 }
 
 // heed carries out what signals ask for: SIGTERM to leave, SIGHUP to go by the files as they are now.
@@ -122,7 +123,7 @@
 	if r.with, r.err = Operate(k.operated); r.err != nil {
 		return r
 	}
-	time.Sleep(still)
+	k.pause()
 	second, err := Operate(k.operated)
 	if r.err = err; err == nil && second.digest != r.with.digest {
 		r.err = fault.List{{File: k.operated, Want: "or a file it names, is being written"}}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -110,6 +110,27 @@
 	// interrupt 7
 }
 
+// A token is read where callers are known, and may have any form where they are not.
+func Example_token() {
+	for _, known := range []bool{false, true} {
+		for _, token := range []string{"a3 'abc'", "da 0003 'abc'", "92 c3 c0"} {
+			l := hears()
+			l.net.Tokens.Store(known)
+			s := l.Stub()
+			s.OnOp = func(_ uint32, a Ask) { fmt.Printf("%v %q\n", known, a.Token) }
+			s.OnFault = func(code string) { fmt.Println(known, code) }
+			s.read(unhex("94 00 01 a1 'w' 92 82 " + id + " a5 'token' " + token + " c4 00"))
+		}
+	}
+	// Output:
+	// false ""
+	// false ""
+	// false ""
+	// true "abc"
+	// true "abc"
+	// true bad-message
+}
+
 // What can't be read ends the connection; what came before it counts, and nothing behind it does.
 func Example_hostileStubs() {
 	for _, b := range [][]byte{
