--- a/cmd/lanewheel/bench_test.go
+++ b/cmd/lanewheel/bench_test.go
@@ -201,7 +201,7 @@
 			b.ReportMetric(float64(took.ValueAtQuantile(50))/1e3, "median-ms")
 			b.ReportMetric(float64(took.ValueAtQuantile(99))/1e3, "99th-ms")
 			b.ReportMetric(float64(forged.Load())/time.Since(began).Seconds(), "forged/s")
-			b.ReportMetric((spent(h.cmd.Process.Pid) - before).Seconds()/time.Since(began).Seconds(), "cores")
+			b.ReportMetric((spent(h.cmd.Process.Pid)-before).Seconds()/time.Since(began).Seconds(), "cores")
 			stop.Store(true)
 			all.Wait()
 		})
--- /dev/null
+++ b/internal/amqp/amqp_test.go
@@ -0,0 +1,534 @@
+package amqp
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	client "github.com/rabbitmq/amqp091-go"
+
+	"lanewheel/choice"
+	"lanewheel/internal/front"
+	"lanewheel/internal/identity"
+	"lanewheel/internal/intake"
+	"lanewheel/internal/loop"
+	"lanewheel/internal/standin"
+	"lanewheel/internal/standin/broker"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("LOGS") == "" {
+		slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}
+	os.Exit(m.Run())
+}
+
+// core is a core that runs what it is handed, one run each, and counts.
+type core struct {
+	*loop.Loop
+	mu      sync.Mutex
+	runs    map[string]int // by body
+	load    front.Load
+	behave  func(ask front.Ask, body string, owed front.Owed) // on its loop; nil: acked after a millisecond
+	holding []func()                                          // what Release lets go
+}
+
+func newCore() *core {
+	c := &core{Loop: loop.New(4096), runs: map[string]int{}, load: front.Load{Up: true, Well: true, Cores: 4, Room: 1000}}
+	go c.Run(func() {})
+	return c
+}
+
+func (c *core) Enter(ask front.Ask, _ *identity.Badge, owed front.Owed) front.Op {
+	body := string(ask.Body)
+	if c.behave != nil {
+		c.behave(ask, body, owed)
+		return nil
+	}
+	c.run(body)
+	c.At(c.Now()+time.Millisecond, func() {
+		owed.Answer([]byte("done "+body), front.With{})
+		owed.Settled()
+	})
+	return nil
+}
+
+func (c *core) run(body string) {
+	c.mu.Lock()
+	c.runs[body]++
+	c.mu.Unlock()
+}
+
+func (c *core) Gone(front.Op)    {}
+func (c *core) Load() front.Load { return c.load }
+
+func (c *core) set(load func(*front.Load)) { c.Hand(func() { load(&c.load) }) }
+
+// stage is a front between a broker and a core.
+type stage struct {
+	broker *broker.Broker
+	core   *core
+	part   *Part
+}
+
+var usual = Queue{Queue: intake.Queue{Name: "ops", Weight: 1, Floor: 2, Most: 100},
+	Told: intake.Told{Attempts: 3, Delay: 20 * time.Millisecond, Dead: true}, Dead: "dead", Identity: "token:depot",
+	Mapping: Mapping{Type: Source{Name: "type"}, Wait: 30 * time.Second, Longest: 2048, Rank0: 0.5, KB0: 1}}
+
+func told(b *broker.Broker, queues ...Queue) Told {
+	if len(queues) == 0 {
+		queues = []Queue{usual}
+	}
+	return Told{Brokers: []string{b.URL()}, Queues: queues, InHand: 100, Share: 1, Remembered: 1000, RememberedIn: time.Minute,
+		Heartbeat: 10 * time.Second, Repeats: map[choice.OpType]bool{"view": true, "key": true}}
+}
+
+func newBroker() *broker.Broker {
+	b := broker.New()
+	for _, name := range []string{"ops", "replies", "dead"} {
+		b.Declare(name, nil)
+	}
+	return b
+}
+
+func open(b *broker.Broker, c *core, t Told) *stage {
+	s := &stage{b, c, New(t, c, c.Hand, 1)}
+	s.part.Start()
+	return s
+}
+
+func (s *stage) close() {
+	s.part.Leave(time.Second)
+	standin.Until("the end of the front", s.part.Closed)
+	s.broker.Close()
+	s.core.Hand(s.core.Over)
+}
+
+func message(id, kind string) client.Publishing {
+	return client.Publishing{MessageId: id, Type: kind, ReplyTo: "replies", CorrelationId: "c-" + id, Body: []byte(id)}
+}
+
+// settled waits until nothing is left in a queue.
+func (s *stage) settled(name string) {
+	standin.Until("the end of "+name, func() bool {
+		c := s.broker.Counts(name)
+		return c.Ready+c.Unsettled == 0
+	})
+}
+
+// replies gives what was answered, sorted; an answer sent twice, with the same id and words, counts once.
+func (s *stage) replies() (all []string) {
+	for _, p := range s.broker.Take("replies") {
+		all = append(all, strings.TrimSpace(fmt.Sprint(p.CorrelationId, " ", p.Type, " ", string(p.Body))))
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// A message's way: taken, run, answered, acked. What can't be served, came too late or was denied is answered unrun, and copied
+// to the dead letters.
+func Example() {
+	b, c := newBroker(), newCore()
+	c.behave = func(ask front.Ask, body string, owed front.Owed) {
+		switch ask.Type {
+		case "deny":
+			owed.Reject("denied", front.With{Why: "tenant"})
+		case "what":
+			owed.Reject("unknown-type", front.With{})
+		case "fail":
+			owed.Fail(front.With{})
+		default:
+			c.run(body)
+			owed.Answer([]byte("done "+body), front.With{})
+		}
+		owed.Settled()
+	}
+	s := open(b, c, told(b))
+	defer s.close()
+	for _, kind := range []string{"view", "pay", "deny", "what", "fail"} {
+		b.Publish("ops", message(kind, kind))
+	}
+	late := message("late", "view")
+	late.Timestamp, late.Expiration = time.Now().Add(-time.Hour), "1000"
+	long := message("long", "view")
+	long.Body = bytes.Repeat([]byte("x"), 200_000)
+	nested, deeper := message("nested", "view"), message("deeper", "view")
+	deep := client.Table{}
+	for i := range 5000 {
+		if deep = (client.Table{"t": deep}); i == 500 {
+			nested.Headers = deep // short enough, and yet more than the library reads
+		}
+	}
+	deeper.Headers = deep
+	odd := message("odd", "view")
+	odd.Expiration = "soon"
+	for _, p := range []client.Publishing{late, long, nested, deeper, odd} {
+		b.Publish("ops", p)
+	}
+	s.settled("ops")
+	standin.Until("all answers", func() bool { return b.Counts("replies").Ready == 8 }) // nobody can tell where nested's goes
+	for _, r := range s.replies() {
+		fmt.Println(r)
+	}
+	var dead []string
+	for _, p := range b.Take("dead") {
+		id, _, _ := strings.Cut(p.MessageId, ":")
+		dead = append(dead, fmt.Sprint(id, " ", p.Headers["outcome"], " ", p.Headers["why"]))
+	}
+	slices.Sort(dead)
+	fmt.Println(strings.Join(dead, "\n"))
+	fmt.Println(c.runs, b.Wrong())
+	// Output:
+	// c-deny denied
+	// c-fail failed
+	// c-late past-due
+	// c-long unservable
+	// c-odd unservable
+	// c-pay acked done pay
+	// c-view acked done view
+	// c-what unservable
+	// deny denied tenant
+	// fail failed <nil>
+	// late past-due <nil>
+	// long unservable too-long
+	// odd unservable bad-expiration
+	// unread unservable bad-header
+	// unread unservable bad-header
+	// what unservable unknown-type
+	// map[pay:1 view:1] []
+}
+
+// The same exchange with the connection cut behind each of its frames, and inside it: whatever the frame, each message has one
+// final answer, none of a type that must not run twice does, and nothing is left unsettled.
+func TestCutAfterEachFrame(t *testing.T) {
+	kinds := []string{"view", "pay", "key"}
+	play := func(faults ...broker.Fault) (s *stage, frames int, wrong string) {
+		b, c := newBroker(), newCore()
+		b.Script(faults...)
+		s = open(b, c, told(b))
+		defer s.close()
+		for i := range 12 {
+			b.Publish("ops", message(fmt.Sprint(kinds[i%3], i), kinds[i%3]))
+		}
+		s.settled("ops")
+		standin.Until("all answers", func() bool { return b.Counts("replies").Ready >= 12 })
+		replies := s.replies()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for i := range 12 {
+			id := fmt.Sprint(kinds[i%3], i)
+			n, ran, told := 0, c.runs[id], 1
+			for _, r := range replies {
+				if strings.HasPrefix(r, "c-"+id+" ") {
+					n++
+					if r == "c-"+id+" may-have-run" && kinds[i%3] == "pay" {
+						told = 0 // redelivered, and nobody can tell whether a peer had it before
+					}
+				}
+			}
+			if n != 1 || ran != told {
+				wrong += fmt.Sprintf("%s: %d answers, %d runs; ", id, n, ran)
+			}
+		}
+		if len(b.Wrong()) > 0 {
+			wrong += fmt.Sprint(b.Wrong())
+		}
+		return s, b.Frames(1), wrong
+	}
+	_, frames, wrong := play()
+	if wrong != "" || frames < 60 {
+		t.Fatalf("%d frames without a fault: %s", frames, wrong)
+	}
+	var all sync.WaitGroup
+	room := make(chan bool, 24)
+	for _, how := range []broker.How{broker.Cut, broker.Half} {
+		for k := 1; k <= frames; k++ {
+			all.Add(1)
+			room <- true
+			go func() {
+				defer all.Done()
+				// The second connection is cut as well, a little further on.
+				if _, _, wrong := play(broker.Fault{Connection: 1, Frame: k, How: how}, broker.Fault{Connection: 2, Frame: k/2 + 9, How: how}); wrong != "" {
+					t.Errorf("cut %d at frame %d: %s", how, k, wrong)
+				}
+				<-room
+			}()
+		}
+	}
+	all.Wait()
+	t.Logf("%d frames, cut behind and inside each", frames)
+}
+
+// A message that the module turns away goes back, by the retry queue where there is one, counted; out of attempts it is answered.
+func Example_turnedAway() {
+	for _, retry := range []bool{false, true} {
+		b, c := newBroker(), newCore()
+		q := usual
+		q.Told.Retry = retry
+		if retry {
+			b = broker.New()
+			b.Declare("ops", client.Table{"x-dead-letter-exchange": "", "x-dead-letter-routing-key": "ops.retry"})
+			b.Declare("ops.retry", client.Table{"x-message-ttl": int64(20), "x-dead-letter-exchange": "", "x-dead-letter-routing-key": "ops"})
+			b.Declare("replies", nil)
+			b.Declare("dead", nil)
+		}
+		turned := 0
+		c.behave = func(ask front.Ask, body string, owed front.Owed) {
+			if body == "never" || turned < 2 {
+				turned++
+				owed.Refuse(front.With{})
+			} else {
+				owed.Answer([]byte("at last"), front.With{})
+			}
+			owed.Settled()
+		}
+		s := open(b, c, told(b, q))
+		b.Publish("ops", message("once", "pay"))
+		standin.Until("an answer", func() bool { return b.Counts("replies").Ready == 1 })
+		fmt.Println(s.replies(), "put back", b.Counts("ops").Requeued, "rejected", b.Counts("ops").Rejected)
+		if retry {
+			b.Publish("ops", message("never", "pay"))
+			standin.Until("its end", func() bool { return b.Counts("dead").Ready == 1 })
+			fmt.Println(s.replies(), "rejected", b.Counts("ops").Rejected, "dead", b.Counts("dead").Ready)
+		}
+		s.close()
+	}
+	// Output:
+	// [c-once acked at last] put back 2 rejected 0
+	// [c-once acked at last] put back 0 rejected 2
+	// [c-never out-of-attempts] rejected 4 dead 1
+}
+
+// At the notice consuming stops, what was not started goes back untouched, what runs is answered and acked, and the connection
+// closes in order; with a broker that has died, or answers nothing, the end comes all the same.
+func Example_drain() {
+	for _, how := range []string{"well", "dead", "silent"} {
+		b, c := newBroker(), newCore()
+		var held []func(bool)
+		var mu sync.Mutex
+		c.behave = func(ask front.Ask, body string, owed front.Owed) {
+			mu.Lock()
+			defer mu.Unlock()
+			held = append(held, func(runs bool) {
+				if runs {
+					owed.Answer([]byte("done"), front.With{})
+				} else {
+					owed.Refuse(front.With{})
+				}
+				owed.Settled()
+			})
+		}
+		q := usual
+		q.Floor = 6
+		s := open(b, c, told(b, q))
+		for i := range 20 {
+			b.Publish("ops", message(fmt.Sprintf("m%02d", i), "view"))
+		}
+		standin.Until("six in hand", func() bool { mu.Lock(); defer mu.Unlock(); return len(held) == 6 })
+		s.core.set(func(l *front.Load) { l.Leaving = true })
+		s.part.Leave(800 * time.Millisecond)
+		s.part.Leave(time.Hour) // a second notice changes nothing
+		switch how {
+		case "dead":
+			b.Close()
+		case "silent":
+			b.Silence(true)
+		}
+		began := time.Now()
+		c.Hand(func() {
+			mu.Lock()
+			defer mu.Unlock()
+			for i, end := range held {
+				end(i < 2)
+			}
+		})
+		standin.Until("the end", s.part.Closed)
+		fmt.Println(how, "in time", time.Since(began) < 1500*time.Millisecond)
+		if how == "well" {
+			counts := b.Counts("ops")
+			fmt.Println("acked", counts.Acked, "back", counts.Ready, "answers", s.replies())
+			_, standing := b.Connections()
+			fmt.Println("connections", standing, b.Wrong())
+		}
+		b.Close()
+		c.Hand(c.Over)
+	}
+	// Output:
+	// well in time true
+	// acked 2 back 18 answers [c-m00 acked done c-m01 acked done]
+	// connections 0 []
+	// dead in time true
+	// silent in time true
+}
+
+// A broker that says it is blocked gets nothing new from us; a queue that is deleted and comes back is consumed again; a login
+// that is refused, and a broker that takes connections and drops them, are tried less and less often.
+func Example_brokerTrouble() {
+	b, c := newBroker(), newCore()
+	s := open(b, c, told(b))
+	b.Publish("ops", message("a", "view"))
+	s.settled("ops")
+	b.Block(true)
+	standin.Until("the intake's end", func() bool { return b.Counts("ops").Consumers == 0 })
+	b.Publish("ops", message("b", "view"))
+	fmt.Println(state(s), b.Counts("ops").Ready)
+	b.Block(false)
+	s.settled("ops")
+	b.Delete("ops")
+	time.Sleep(intake.Every)
+	b.Declare("ops", nil)
+	b.Publish("ops", message("c", "view"))
+	s.settled("ops")
+	fmt.Println(len(s.replies()))
+	s.close()
+
+	b = newBroker()
+	b.Refuse(true)
+	s = open(b, newCore(), told(b))
+	time.Sleep(1500 * time.Millisecond)
+	ever, _ := b.Connections()
+	fmt.Println("tries", ever >= 2 && ever <= 6)
+	s.close()
+	// Output:
+	// blocked 1
+	// 3
+	// tries true
+}
+
+func state(s *stage) string {
+	say := make(chan string)
+	s.part.Hand(func() { say <- s.part.desk.State("ops") })
+	return <-say
+}
+
+// When the primary goes, the second broker is consumed from; a primary that flaps does not have the consumer flap.
+func Example_routes() {
+	now := time.Duration(0)
+	r := NewRoutes([]string{"one", "two"}, func() float64 { return 0.5 })
+	say := func() {
+		addr, wait := r.Pick(now)
+		fmt.Println(now, addr, wait, r.Return(now))
+	}
+	say()
+	r.Down(now, "one", "unreachable")
+	say()
+	r.Up(now, "two")
+	now = 29 * time.Second
+	say()
+	now = 30 * time.Second
+	say() // back to the preferred
+	tries := 0
+	for end := now + 10*time.Minute; now < end; now += 10 * time.Millisecond {
+		if addr, _ := r.Pick(now); addr == "one" {
+			tries++
+			r.Up(now, "one")
+			now += 100 * time.Millisecond
+			r.Down(now, "one", "closed")
+		}
+	}
+	fmt.Println("tries in ten minutes", tries)
+	// Output:
+	// 0s one 0s false
+	// 0s two 0s false
+	// 29s one 0s false
+	// 30s one 0s true
+	// tries in ten minutes 26
+}
+
+// Two instances on one queue, one of them slow: the fast one gets the work, and what the slow one left untouched goes back.
+func Example_twoInstances() {
+	b := newBroker()
+	slow, fast := newCore(), newCore()
+	slow.behave = func(_ front.Ask, body string, owed front.Owed) {
+		slow.run(body)
+		slow.load.Held = 40 // it holds more than it has cores
+		slow.At(slow.Now()+300*time.Millisecond, func() { owed.Answer([]byte("slow"), front.With{}); owed.Settled() })
+	}
+	one, two := open(b, slow, told(b)), open(b, fast, told(b))
+	for i := range 300 {
+		b.Publish("ops", message(fmt.Sprint(i), "view"))
+	}
+	one.settled("ops")
+	standin.Until("all answers", func() bool { return b.Counts("replies").Ready == 300 })
+	fmt.Println(len(one.replies()), len(fast.runs)+len(slow.runs), len(slow.runs) < 30)
+	one.part.Leave(time.Second)
+	standin.Until("its end", one.part.Closed)
+	two.close()
+	// Output:
+	// 300 300 true
+}
+
+// Content of any size and tables of any depth do not reach the library; whatever way the bytes come cut, the same goes on.
+func TestSieve(t *testing.T) {
+	frame := func(kind byte, channel uint16, payload []byte) []byte {
+		b := binary.BigEndian.AppendUint16([]byte{kind}, channel)
+		b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
+		return append(append(b, payload...), 0xce)
+	}
+	header := func(size uint64, id int) []byte { // with a message-id of that length
+		b := binary.BigEndian.AppendUint64([]byte{0, 60, 0, 0}, size)
+		if id == 0 {
+			return append(b, 0, 0)
+		}
+		return append(append(b, 0, 1<<7, byte(id)), make([]byte, id)...)
+	}
+	var stream []byte
+	stream = append(stream, frame(1, 1, []byte("method"))...)
+	stream = append(stream, frame(2, 1, header(5, 0))...)
+	stream = append(stream, frame(3, 1, []byte("small"))...)
+	stream = append(stream, frame(2, 2, header(3000, 3))...)
+	stream = append(stream, frame(3, 2, make([]byte, 2000))...)
+	stream = append(stream, frame(8, 0, nil)...)
+	stream = append(stream, frame(3, 2, make([]byte, 1000))...)
+	stream = append(stream, frame(2, 1, header(4, 200))...)
+	stream = append(stream, frame(3, 1, []byte("more"))...)
+	stream = append(stream, frame(1, 1, []byte("end"))...)
+	var want []byte
+	want = append(want, frame(1, 1, []byte("method"))...)
+	want = append(want, frame(2, 1, header(5, 0))...)
+	want = append(want, frame(3, 1, []byte("small"))...)
+	want = append(want, frame(2, 2, header(uint64(len(marks[tooLong])), 3))...)
+	want = append(want, frame(3, 2, []byte(marks[tooLong]))...)
+	want = append(want, frame(8, 0, nil)...)
+	want = append(want, frame(2, 1, header(uint64(len(marks[badHeader])), 0))...)
+	want = append(want, frame(3, 1, []byte(marks[badHeader]))...)
+	want = append(want, frame(1, 1, []byte("end"))...)
+	for size := 1; size <= len(stream); size++ {
+		s := newSieve(nil, 100, 100)
+		for rest := stream; len(rest) > 0; {
+			n := min(size, len(rest))
+			s.feed(rest[:n])
+			rest = rest[n:]
+		}
+		if !bytes.Equal(s.out, want) {
+			t.Fatalf("in pieces of %d: %q", size, s.out)
+		}
+	}
+}
+
+func FuzzMapping(f *testing.F) {
+	f.Add("id", "view", "1000", "water", "0.5", int64(3), []byte("body"))
+	f.Add("", "", "x", "", "NaN", int64(-1), []byte(nil))
+	m := usual.Mapping
+	m.Tenant, m.Rank = Source{Header: true, Name: "tenant"}, Source{Header: true, Name: "rank"}
+	f.Fuzz(func(t *testing.T, id, kind, expiration, tenant, rank string, count int64, body []byte) {
+		d := &client.Delivery{MessageId: id, Type: kind, Expiration: expiration, Body: body, Headers: client.Table{"tenant": tenant, "rank": rank,
+			"x-death": []any{client.Table{"queue": "ops", "reason": "rejected", "count": count}}}}
+		r := m.Read("ops", d, "", time.Unix(0, 0))
+		again := m.Read("ops", d, "", time.Unix(1, 0))
+		if r.ID == "" || len(r.Ask.ID) != 16 || r.ID != again.ID || r.Digest != again.Digest || r.Attempt < 0 || r.Ask.Wait < 0 {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
+
+var _ net.Conn = (*sieve)(nil)
--- a/internal/identity/door.go
+++ b/internal/identity/door.go
@@ -33,6 +33,7 @@
 // Badge is what a connection has proved. It belongs to the owner loop.
 type Badge struct {
 	Proof   *certs.Proof // nil: no certificate
+	Told    rights.Name  // who it is by the operator's word, empty if nobody says so
 	looked  uint64       // the generation for which the proof was looked at last
 	barred  rights.Reason
 	suspect bool // it has brought tokens that prove nothing
@@ -286,6 +287,10 @@
 		return
 	}
 	b.known, b.entry, b.token = d.generation, nil, ""
+	if b.Told != "" {
+		b.who, b.why = d.parts.Book.Who([]rights.Name{b.Told}, "", nil)
+		return
+	}
 	if b.Proof == nil {
 		b.who, b.why = d.parts.Book.Anonymous()
 		return
@@ -353,7 +358,7 @@
 	if b.Proof != nil && len(b.Proof.Names) > 0 {
 		return b.Proof.Names[0]
 	}
-	return ""
+	return b.Told
 }
 
 // Forged tells whether a token that is denied so was never good anywhere: whoever brings several is no caller of ours.
--- a/internal/keep/calls.go
+++ b/internal/keep/calls.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lanewheel/choice"
+	"lanewheel/internal/loop"
 	"lanewheel/internal/wire"
 )
 
@@ -23,7 +24,7 @@
 	until time.Duration
 	conn  *wire.Database // nil while it waits for room
 	sent  bool
-	limit *Timer
+	limit *loop.Timer
 	done  func(choice.Ending, time.Duration)
 }
 
@@ -34,7 +35,7 @@
 
 func (d *database) call(in *Instance, o *op, until time.Duration, done func(choice.Ending, time.Duration)) {
 	d.drop(o.run.call) // a second call gives up the first
-	c := &call{op: o, began: in.now, until: until, done: done}
+	c := &call{op: o, began: in.Now(), until: until, done: done}
 	o.run.call = c
 	c.limit = in.At(until, func() { d.end(in, c, c.cut(choice.GivenUp)) })
 	if d.open >= d.most {
@@ -53,7 +54,7 @@
 		switch {
 		case refused == nil && c.op.run != nil && c.op.run.call == c:
 			c.sent = true
-			conn.Call(addr, c.op.id, c.until-in.now, c.op.run.ask)
+			conn.Call(addr, c.op.id, c.until-in.Now(), c.op.run.ask)
 		case refused != nil:
 			d.open--
 			if c.op.run != nil && c.op.run.call == c && addr != in.told.Database { // it has moved since
@@ -114,7 +115,7 @@
 	d.drop(c)
 	c.op.run.call = nil
 	in.touched = true
-	c.done(how, in.now-c.began)
+	c.done(how, in.Now()-c.began)
 }
 
 // cut is how a call comes out that was cut short. One that was never sent can't have run.
--- a/internal/keep/door.go
+++ b/internal/keep/door.go
@@ -1,110 +1,71 @@
 package keep
 
 import (
-	"time"
-
 	"lanewheel/choice"
 	"lanewheel/internal/certs"
+	"lanewheel/internal/front"
 	"lanewheel/internal/identity"
 	"lanewheel/internal/rights"
-	"lanewheel/internal/wire"
 )
 
 // enter asks the door for an op that was read. One whose caller is not known yet waits in the tables, unheard by the module:
-// it can be interrupted, its connection may end, and its id is taken, as that of any other.
-func (in *Instance) enter(c *caller, n uint32, ask wire.Ask) {
+// it can be given up, and its id is taken, as that of any other.
+func (in *Instance) enter(badge *identity.Badge, ask front.Ask, owed front.Owed) *op {
 	want := identity.Ask{Token: ask.Token, Ask: rights.Ask{Type: choice.OpType(ask.Type),
 		Tenant: choice.TenantID(ask.Tenant), Write: ask.Subject == ""}}
-	var o *op
-	asked := false // the verdict came before the op had to wait
-	in.door.Enter(&c.badge, want, func(v identity.Verdict) {
-		asked = true
-		if o != nil && (o.stub == nil || in.ops[o.id] != o) { // gone meanwhile
+	o := in.take(ask, owed)
+	o.outside = true
+	in.door.Enter(badge, want, func(v identity.Verdict) {
+		if o.owed == nil || in.ops[o.id] != o { // gone meanwhile
 			in.door.Give(&v.Pass)
 			return
 		}
-		in.verdict(c, n, ask, o, v)
+		in.verdict(ask, o, v)
 	})
-	if asked {
-		return
-	}
-	o = in.take(c, n, ask)
-	o.outside = true
 	ask.Body = nil // it is the reader's; the op has its own
+	return o
 }
 
-// verdict carries out what the door said of an op; o is the op as it waits, nil if it did not have to.
-func (in *Instance) verdict(c *caller, n uint32, ask wire.Ask, o *op, v identity.Verdict) {
-	c.used = in.now
+// verdict carries out what the door said of an op.
+func (in *Instance) verdict(ask front.Ask, o *op, v identity.Verdict) {
 	switch {
 	case v.Why != "":
-		in.dismiss(o)
 		with := in.with()
 		with.Why = string(v.Why)
-		c.conn.Denied(n, with)
-		c.denied(v.Why)
+		in.dismiss(o, func(w front.Owed) { w.Reject("denied", with) })
 	case v.After > 0:
-		in.dismiss(o)
-		in.refuse(c, n, v.After)
-	case in.desk == nil: // it can't be: nothing is read before the runtime is up, and it stays up
-		in.dismiss(o)
-		in.door.Give(&v.Pass)
-		in.refuse(c, n, 0)
+		// When to come again is said where the settings allow it, and no more.
+		with := in.with()
+		if passed, _ := in.told.Facts["stay away is passed on"].(bool); passed {
+			with.After = v.After
+			if longest := span(in.told.Facts, "longest stay away"); longest > 0 {
+				with.After = min(v.After, longest)
+			}
+		}
+		in.dismiss(o, func(w front.Owed) { w.Refuse(with) })
 	default:
 		ask.Tenant = string(v.Tenant)
-		held := o
-		if held == nil {
-			held = in.take(c, n, ask)
-		}
-		held.pass, held.tenant = v.Pass, v.Tenant
-		in.admit(c, n, ask, held)
+		o.pass, o.tenant = v.Pass, v.Tenant
+		in.admit(ask, nil, o)
 	}
 }
 
-// refuse nacks an op that the module has not heard of. When to come again is said where the settings allow it, and no more.
-func (in *Instance) refuse(c *caller, n uint32, after time.Duration) {
-	with := in.with()
-	if passed, _ := in.told.Facts["stay away is passed on"].(bool); passed {
-		with.After = after
-		if longest := span(in.told.Facts, "longest stay away"); longest > 0 {
-			with.After = min(after, longest)
-		}
-	}
-	c.conn.Refuse(n, with)
-}
-
-// dismiss takes an op out of the tables that is answered without the module.
-func (in *Instance) dismiss(o *op) {
-	if o != nil {
-		o.outside = true
-		in.unowe(o)
-		in.release(o)
-	}
+// dismiss answers an op that the module has not heard of, and takes it out of the tables.
+func (in *Instance) dismiss(o *op, send func(front.Owed)) {
+	o.outside = true
+	in.answer(o, send)
+	in.release(o)
 }
 
 // proven hears that a handshake is over.
 func (c *caller) proven(proof any) {
-	c.used = c.in.now
+	c.used = c.in.Now()
 	c.badge.Proof, _ = proof.(*certs.Proof)
 	if c.parting > 0 { // what it was told before could not be sent
 		c.conn.GoAway()
 	}
 }
 
-// denied hears that an op of this connection was denied. Forged tokens end it as other bad asks do; a certificate that no
-// longer counts bars it.
-func (c *caller) denied(why rights.Reason) {
-	if standing := c.in.door.Standing(&c.badge); standing != "" {
-		c.bar(string(standing))
-		return
-	}
-	if identity.Forged(why) {
-		if c.strikes++; c.strikes >= 8 {
-			c.fault("denied")
-		}
-	}
-}
-
 // bar takes nothing more from a connection whose certificate was taken back. What was read gets its answer; the connection
 // ends with the last one.
 func (c *caller) bar(code string) {
@@ -121,7 +82,7 @@
 		return
 	}
 	// The answer that is being sent goes before the close.
-	c.in.At(c.in.now, func() {
+	c.in.At(c.in.Now(), func() {
 		if len(c.open) == 0 && c.dying == "" {
 			c.close(c.barred)
 		}
--- a/internal/keep/health.go
+++ b/internal/keep/health.go
@@ -18,7 +18,7 @@
 
 // check answers a health check, a deep one by work unless the module has said to answer from its state.
 func (in *Instance) check(c *caller, n uint32, deep bool) {
-	c.used = in.now
+	c.used = in.Now()
 	if !deep || in.health.fromState || !in.well() || !in.runtime.synced {
 		c.conn.Checked(n, in.well() && (in.runtime.synced || !deep || in.health.fromState), in.with())
 		return
@@ -37,7 +37,7 @@
 		l.tests = map[string]func(bool){}
 	}
 	mark := in.mark("test")
-	late := in.At(in.now+time.Second, func() { l.tests[mark](false) })
+	late := in.At(in.Now()+time.Second, func() { l.tests[mark](false) })
 	l.tests[mark] = func(good bool) {
 		delete(l.tests, mark)
 		late.Drop()
@@ -50,7 +50,7 @@
 // who is not heard for some seconds, and a datagram may be lost; so often, many in a row would have to be.
 func (in *Instance) reports() {
 	in.report()
-	in.At(in.now+250*time.Millisecond, in.reports)
+	in.At(in.Now()+250*time.Millisecond, in.reports)
 }
 
 func (in *Instance) report() {
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"lanewheel/choice"
+	"lanewheel/internal/front"
 	"lanewheel/internal/identity"
+	"lanewheel/internal/loop"
 	"lanewheel/internal/rights"
 	"lanewheel/internal/wire"
 )
@@ -33,7 +35,7 @@
 
 // Instance is one life of a service instance. All of it belongs to the owner loop.
 type Instance struct {
-	*Loop
+	*loop.Loop
 	told    Told
 	net     *wire.Net
 	pool    *Pool
@@ -57,16 +59,19 @@
 	door     *identity.Door // nil: all may enter
 	say      float64        // rides on all answers; under 0 until it is said
 
-	most int // ops in hand
+	most    int // ops in hand
+	running int // of them
 
-	leaving bool // it was told to go
-	parting bool // and asks all connections to
+	fronts  []front.Front
+	early   time.Duration // see Now
+	leaving bool          // it was told to go
+	parting bool          // and asks all connections to
 }
 
 // Open makes an instance that listens and looks for its runtime.
 func Open(told Told) (*Instance, error) {
 	buffers := int(told.MemoryMB*(1<<20)) / wire.BufferSize
-	in := &Instance{Loop: NewLoop(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
+	in := &Instance{Loop: loop.New(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
 		stubs: map[*wire.Stub]*caller{}, idle: span(told.Facts, "connections idle")}
 	in.health.good = true
 	in.kinds, in.tenants = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}
@@ -86,7 +91,7 @@
 	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: in.accept, Crowded: in.makeRoom,
 		Most: int64(told.Sockets) * 5 / 8, Unread: int64(told.MemoryMB*(1<<20)) / 8}
 	if told.Callers != nil {
-		in.door = identity.New(*told.Callers, in.Hand, func() (time.Duration, time.Time) { return in.now, in.wall })
+		in.door = identity.New(*told.Callers, in.Hand, func() (time.Duration, time.Time) { return in.Now(), in.Wall() })
 		in.net.Tokens.Store(told.Callers.Keys != nil)
 	}
 	if err := in.net.Start(told.Listen); err != nil {
@@ -138,8 +143,7 @@
 	subject string
 	tenant  choice.TenantID // whose it is by its caller's rights; empty where there are none
 	body    []byte
-	stub    *caller // whom its answer is owed to; nil once it is answered or the caller has left
-	n       uint32  // what the stub calls it
+	owed    front.Owed // its one answer; nil once it is given or the caller has left
 	run     *run
 	sharing func(choice.Ending, time.Duration) // waits for another's result
 	since   time.Duration                      // when it began to wait
@@ -147,66 +151,82 @@
 	pass    rights.Pass                        // given back when the op is over
 }
 
-// read takes an op off a connection.
-func (in *Instance) read(c *caller, n uint32, ask wire.Ask) {
-	id := choice.OpID(ask.ID)
-	switch before := in.ops[id]; {
-	case c.dying != "":
-		return
-	case c.open[n] != nil:
-		c.fault("id-twice")
-		return
-	case len(c.open) >= 32:
-		c.fault("too-many-open")
-		return
-	case before != nil && before.stub == c:
-		c.fault("op-twice")
-		return
-	// Danger: more bodies than there is memory for. Nothing is taken either before the runtime has come up, nor
-	// under the id of an op in hand that another connection brought: whose it is can't be told, and it never ran.
-	case in.desk == nil, len(in.ops) >= in.most, before != nil:
-		c.used = in.now
-		c.conn.Refuse(n, in.with())
-		return
+// Enter is front.Core: it takes an op from a front. What can't be taken is nacked at once: nothing is before the runtime has
+// come up, nor under the id of an op in hand that came elsewhere: whose it is can't be told, and it never ran.
+func (in *Instance) Enter(ask front.Ask, badge *identity.Badge, owed front.Owed) front.Op {
+	// Danger: more bodies than there is memory for.
+	if in.desk == nil || len(in.ops) >= in.most || in.ops[choice.OpID(ask.ID)] != nil {
+		owed.Refuse(in.with())
+		owed.Settled()
+		return nil
 	}
+	var o *op
 	if in.door != nil {
-		in.enter(c, n, ask)
-		return
+		o = in.enter(badge, ask, owed)
+	} else {
+		o = in.admit(ask, owed, nil)
+	}
+	if o == nil || o.owed == nil {
+		return nil
 	}
-	in.admit(c, n, ask, nil)
+	return o
 }
 
-// admit hands an op to the module. before is the op as it waited at the door, nil if it did not.
-func (in *Instance) admit(c *caller, n uint32, ask wire.Ask, before *op) {
-	lay := max(0, in.wall.Sub(time.UnixMilli(ask.At)))
-	if code := in.unservable(ask); code != "" {
-		in.dismiss(before)
-		c.turnedAway(n, code)
-		return
+// Attach starts a further front. It belongs to the time before Serve.
+func (in *Instance) Attach(f front.Front) {
+	in.fronts = append(in.fronts, f)
+	f.Start()
+}
+
+// Gone is front.Core: nobody waits for an op any more.
+func (in *Instance) Gone(x front.Op) {
+	if o, is := x.(*op); is && o.owed != nil {
+		in.gone(o)
 	}
-	if lay > mostTimeouts*in.kinds[choice.OpType(ask.Type)] { // long over, by a clock that is not ours
-		in.dismiss(before)
-		c.conn.Refuse(n, in.with())
-		return
+}
+
+// Load is front.Core: how the instance stands.
+func (in *Instance) Load() front.Load {
+	cores, _ := in.told.Facts["cores"].(float64)
+	return front.Load{Up: in.desk != nil && in.runtime.synced, Leaving: in.leaving, Well: in.well(), Cores: cores,
+		Held: len(in.ops) - in.running, Running: in.running, Room: in.most - len(in.ops)}
+}
+
+// admit hands an op to the module. before is the op as it waited at the door, nil if it did not.
+func (in *Instance) admit(ask front.Ask, owed front.Owed, before *op) *op {
+	lay := max(0, in.Wall().Sub(time.UnixMilli(ask.At)))
+	code := in.unservable(ask)
+	if code != "" || lay > mostTimeouts*in.kinds[choice.OpType(ask.Type)] { // the second: long over, by a clock that is not ours
+		if before == nil {
+			before = in.take(ask, owed)
+		}
+		in.dismiss(before, func(w front.Owed) {
+			if code != "" {
+				w.Reject(code, in.with())
+			} else {
+				w.Refuse(in.with())
+			}
+		})
+		return nil
 	}
-	c.strikes = 0
-	id, o := choice.OpID(ask.ID), before
+	o := before
 	if o == nil {
-		o = in.take(c, n, ask)
+		o = in.take(ask, owed)
 	}
 	o.outside = false
 	in.touched = true
-	in.desk.Read(choice.Arrival{ID: id, Type: o.kind, Rank: ask.Rank, Write: ask.Subject == "",
+	in.desk.Read(choice.Arrival{ID: o.id, Type: o.kind, Rank: ask.Rank, Write: ask.Subject == "",
 		Subject: ask.Subject, Caller: choice.CallerID(ask.From), Waits: ask.Waits,
-		ToldWait: in.now - lay + ask.Wait, Hint: ask.Cost, KB: ask.KB, Lay: lay,
+		ToldWait: in.Now() - lay + ask.Wait, Hint: ask.Cost, KB: ask.KB, Lay: lay,
 		Tenant: choice.TenantID(ask.Tenant), RepeatsOf: in.keys.repeated(in, o)})
+	return o
 }
 
 // take puts an op in the tables.
-func (in *Instance) take(c *caller, n uint32, ask wire.Ask) *op {
-	o := &op{id: choice.OpID(ask.ID), kind: choice.OpType(ask.Type), subject: ask.Subject, stub: c, n: n,
+func (in *Instance) take(ask front.Ask, owed front.Owed) *op {
+	o := &op{id: choice.OpID(ask.ID), kind: choice.OpType(ask.Type), subject: ask.Subject, owed: owed,
 		body: append(in.pool.Take(), ask.Body...)}
-	in.ops[o.id], c.open[n], c.used = o, o, in.now
+	in.ops[o.id] = o
 	return o
 }
 
@@ -215,7 +235,7 @@
 
 // unservable tells what makes an ask one that could never be served, whatever else is here. Danger: the module would
 // learn from figures that nobody meant, or reckon with such as overflow.
-func (in *Instance) unservable(ask wire.Ask) string {
+func (in *Instance) unservable(ask front.Ask) string {
 	kind, known := in.kinds[choice.OpType(ask.Type)]
 	switch {
 	case !known:
@@ -242,32 +262,28 @@
 	in.release(o)
 }
 
-// unowe ends the answer that is owed. Danger: whatever crosses, an op is answered once; who takes the caller
-// off it first is the one that answers.
-func (in *Instance) unowe(o *op) *caller {
-	c := o.stub
-	if c != nil {
-		o.stub = nil
-		delete(c.open, o.n)
-		c.used = in.now
-		c.leaveIfBarred()
+// unowe ends the answer that is owed. Danger: whatever crosses, an op is answered once; who takes it off first is the one
+// that answers.
+func (in *Instance) unowe(o *op) {
+	if w := o.owed; w != nil {
+		o.owed = nil
+		w.Settled()
 	}
-	return c
 }
 
 // answer sends the one answer, if it is still owed.
-func (in *Instance) answer(o *op, send func(c *wire.Stub, n uint32)) {
-	if c := o.stub; c != nil {
-		send(c.conn, o.n)
+func (in *Instance) answer(o *op, send func(front.Owed)) {
+	if w := o.owed; w != nil {
+		send(w)
 		in.unowe(o)
 	}
 }
 
-func (in *Instance) with() wire.With { return wire.With{Say: in.say} }
+func (in *Instance) with() front.With { return front.With{Say: in.say} }
 
 // release forgets an op that nothing is owed to any more and that does not run.
 func (in *Instance) release(o *op) {
-	if o.stub != nil || o.run != nil || in.ops[o.id] != o {
+	if o.owed != nil || o.run != nil || in.ops[o.id] != o {
 		return
 	}
 	delete(in.ops, o.id)
@@ -283,11 +299,13 @@
 
 // The rest is choice.Port.
 
-func (in *Instance) Now() time.Duration { return in.now }
+// Now is the module's time. While the module opens, it is as much earlier as the runtime is older than we are.
+func (in *Instance) Now() time.Duration { return in.Loop.Now() - in.early }
 
 func (in *Instance) Run(id choice.OpID, atCall func(), ended func(choice.Ending, time.Duration)) {
 	if o := in.ops[id]; o != nil {
 		o.run = &run{atCall: atCall, ended: ended}
+		in.running++
 		if in.runtime.synced {
 			in.runtime.conn.Start(id, o.kind, o.body)
 		}
@@ -307,14 +325,14 @@
 	if o := in.ops[id]; o != nil {
 		with := in.with()
 		with.After, with.Last = stayAway, nowhereElse
-		in.answer(o, func(c *wire.Stub, n uint32) { c.Refuse(n, with) })
+		in.answer(o, func(w front.Owed) { w.Refuse(with) })
 		in.release(o)
 	}
 }
 
 func (in *Instance) Fail(id choice.OpID) {
 	if o := in.ops[id]; o != nil {
-		in.answer(o, func(c *wire.Stub, n uint32) { c.Failed(n, in.with()) })
+		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
 		in.release(o)
 	}
 }
@@ -336,7 +354,7 @@
 
 func (in *Instance) Share(id choice.OpID, ended func(choice.Ending, time.Duration)) {
 	if o := in.ops[id]; o != nil {
-		o.sharing, o.since = ended, in.now
+		o.sharing, o.since = ended, in.Now()
 		in.keys.share(in, o)
 	}
 }
--- a/internal/keep/keys.go
+++ b/internal/keep/keys.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"lanewheel/choice"
-	"lanewheel/internal/wire"
+	"lanewheel/internal/front"
 )
 
 // keys are the ops that repeats are known by. Reads of like type and subject are repeats of each other. No
@@ -37,7 +37,7 @@
 // repeated is the kept op that this one repeats, or none.
 func (k *keys) repeated(in *Instance, o *op) choice.OpID {
 	e := k.of[k.like(o)]
-	if o.subject == "" || e == nil || e.until <= in.now || e.over && e.result == nil {
+	if o.subject == "" || e == nil || e.until <= in.Now() || e.over && e.result == nil {
 		return ""
 	}
 	return e.id
@@ -58,9 +58,9 @@
 		e = &kept{id: o.id, like: k.like(o)}
 		k.of[e.like], k.held[o.id] = e, e
 	}
-	e.until = in.now + span
+	e.until = in.Now() + span
 	in.At(e.until, func() {
-		if e.until <= in.now {
+		if e.until <= in.Now() {
 			k.drop(e.id)
 		}
 	})
@@ -101,7 +101,7 @@
 	e.over = true
 	if result != nil {
 		e.result = append(make([]byte, 0, len(result)), result...)
-		e.until = min(e.until, in.now+span(in.told.Facts, "shared reads for"))
+		e.until = min(e.until, in.Now()+span(in.told.Facts, "shared reads for"))
 	}
 	waiting := e.waiting
 	e.waiting = nil
@@ -113,17 +113,17 @@
 
 // shared ends an op that waited for another's result.
 func (in *Instance) shared(o *op, result []byte) {
-	if o.stub == nil || in.ops[o.id] != o {
+	if o.owed == nil || in.ops[o.id] != o {
 		return
 	}
 	how := choice.Acked
 	if result == nil {
 		how = choice.Failed
-		in.answer(o, func(c *wire.Stub, n uint32) { c.Failed(n, in.with()) })
+		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
 	} else {
-		in.answer(o, func(c *wire.Stub, n uint32) { c.Answer(n, result, in.with()) })
+		in.answer(o, func(w front.Owed) { w.Answer(result, in.with()) })
 	}
 	in.touched = true
-	o.sharing(how, in.now-o.since)
+	o.sharing(how, in.Now()-o.since)
 	in.release(o)
 }
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -2,7 +2,10 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
+
+	"lanewheel/internal/front"
 )
 
 // Move takes the addresses of a configuration that was read anew. What is under way at the old ones may end there.
@@ -27,18 +30,21 @@
 		return
 	}
 	in.leaving = true
-	killAt := in.now + in.told.Stop
+	killAt := in.Now() + in.told.Stop
 	slog.Info("leaving", "kill_ms", in.told.Stop.Milliseconds(), "held", len(in.ops))
 	in.report()
+	for _, f := range in.fronts { // they close while connections still may be answered
+		f.Leave(max(0, in.told.Stop-80*time.Millisecond))
+	}
 	if in.desk == nil { // nothing was ever taken in
-		in.part(in.now)
+		in.part(in.Now())
 		return
 	}
 	in.touched = true
 	in.desk.Leave(killAt)
 	// Before the module gives its last answers, a sixth of a second before the kill, no connection comes in
 	// any more and the stubs are asked to go; an op that crosses that comes within 50 ms.
-	in.At(max(in.now, killAt-300*time.Millisecond), func() { in.part(killAt - 60*time.Millisecond) })
+	in.At(max(in.Now(), killAt-300*time.Millisecond), func() { in.part(killAt - 60*time.Millisecond) })
 }
 
 // part closes the listening socket, then the connections as they fall empty, and ends when none is left.
@@ -52,20 +58,20 @@
 	}
 	// Time for those to be accepted that had connected before; they are asked to go when they show up.
 	in.parting = true
-	in.At(in.now+10*time.Millisecond, func() {
+	in.At(in.Now()+10*time.Millisecond, func() {
 		in.net.Shut()
 		in.partWhenEmpty(last)
 	})
 }
 
 func (in *Instance) partWhenEmpty(last time.Duration) {
-	if len(in.stubs) == 0 || in.now >= last {
+	if len(in.stubs) == 0 && !slices.ContainsFunc(in.fronts, func(f front.Front) bool { return !f.Closed() }) || in.Now() >= last {
 		for _, c := range in.stubs {
 			c.close("stopped")
 		}
 		slog.Info("stopped", "connections", len(in.stubs), "ops", len(in.ops))
-		in.over = true
+		in.Over()
 		return
 	}
-	in.At(in.now+5*time.Millisecond, func() { in.partWhenEmpty(last) })
+	in.At(in.Now()+5*time.Millisecond, func() { in.partWhenEmpty(last) })
 }
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lanewheel/choice"
+	"lanewheel/internal/front"
 	"lanewheel/internal/wire"
 )
 
@@ -53,7 +54,7 @@
 	again := func() {
 		if l.attempt == attempt { // Danger: what a dial to an old address comes to would count for the new one
 			l.backoff = min(max(2*l.backoff, 10*time.Millisecond), 500*time.Millisecond)
-			in.At(in.now+l.backoff, func() {
+			in.At(in.Now()+l.backoff, func() {
 				if l.attempt == attempt {
 					in.connect()
 				}
@@ -131,10 +132,9 @@
 	slog.Info("ready", "state", n.Status, "runtime_up_ms", n.Took.Milliseconds())
 	if in.desk == nil {
 		in.told.Facts["just started"] = n.Status == "booting"
-		now := in.now
-		in.now -= n.Took // the age that a cold instance has counts from its runtime's start
+		in.early = n.Took // the age that a cold instance has counts from its runtime's start
 		in.desk = choice.Open(in.told.Seed, in.told.Facts, in)
-		in.now = now
+		in.early = 0
 		in.touched = true
 	}
 	in.runtime.backoff = 0
@@ -146,7 +146,7 @@
 // behind all replayed notices, and only then what is still open is sent again.
 func (in *Instance) load(n wire.Notice) {
 	l := &in.runtime
-	in.gauges, l.gauged = map[string]float64{}, in.now
+	in.gauges, l.gauged = map[string]float64{}, in.Now()
 	for i, name := range in.told.Gauges {
 		if i < len(n.Gauges) {
 			in.gauges[name] = n.Gauges[i]
@@ -198,7 +198,7 @@
 	l.conn.Gauges(l.asked)
 	asked := l.asked
 	// Some round trips on one machine; the last known are a look old, which is worse than none of them.
-	in.At(in.now+5*time.Millisecond, func() {
+	in.At(in.Now()+5*time.Millisecond, func() {
 		if l.asked == asked {
 			in.looked()
 		}
@@ -213,7 +213,7 @@
 	gauges := in.gauges
 	// Danger: what was true before a link was lost is believed for as long as there is none. Past some looks of the
 	// module it hears that nothing is known.
-	if in.now-l.gauged > 300*time.Millisecond {
+	if in.Now()-l.gauged > 300*time.Millisecond {
 		gauges = nil
 	}
 	for _, then := range looks {
@@ -240,32 +240,30 @@
 	r := o.run
 	in.database.drop(r.call)
 	o.run = nil
+	in.running--
 	switch how {
 	case choice.Acked:
 		in.keys.over(in, o, n.Bytes)
-		in.answer(o, func(c *wire.Stub, no uint32) { c.Answer(no, n.Bytes, in.with()) })
+		in.answer(o, func(w front.Owed) { w.Answer(n.Bytes, in.with()) })
 	case choice.Failed:
-		in.answer(o, func(c *wire.Stub, no uint32) { c.Failed(no, in.with()) })
+		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
 	}
 	in.touched = true
 	r.ended(how, n.Took)
 	if how == choice.Moot { // nothing ran here, so an answer that is owed all the same can only be this
-		in.answer(o, func(c *wire.Stub, no uint32) { c.Failed(no, in.with()) })
+		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
 	}
 	in.release(o)
 }
 
-// refused hears that a command was not carried out. A start that was not ends its op, and the connection that brought
-// an id, type or body which is that of no op. Danger: the module would take it for a run that failed.
+// refused hears that a command was not carried out. A start that was not ends its op, and its front hears that the id, type
+// or body is that of no op. Danger: the module would take it for a run that failed.
 func (in *Instance) refused(n wire.Notice) {
 	o := in.ops[choice.OpID(n.ID)]
 	if o == nil || o.run == nil || o.run.heard || n.Status != "start" {
 		slog.Warn("command-refused", "command", n.Status, "op", n.ID)
 		return
 	}
-	c := o.stub
+	in.answer(o, func(w front.Owed) { w.Reject("unknown-op", in.with()) })
 	in.end(wire.Notice{Kind: "end", ID: n.ID, Status: "nothing"})
-	if c != nil {
-		c.fault("unknown-op")
-	}
 }
--- a/internal/keep/stubs.go
+++ b/internal/keep/stubs.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"lanewheel/choice"
+	"lanewheel/internal/front"
 	"lanewheel/internal/identity"
+	"lanewheel/internal/rights"
 	"lanewheel/internal/wire"
 )
 
@@ -13,7 +16,7 @@
 type caller struct {
 	in      *Instance
 	conn    *wire.Stub
-	open    map[uint32]*op
+	open    map[uint32]*asked
 	used    time.Duration // when something last came or went on it
 	parting time.Duration // when it was asked to go away, 0 if it was not
 	checks  int           // health checks that wait for their verdict
@@ -27,15 +30,15 @@
 // accept makes a new connection one of a client stub. It runs beside the owner loop.
 func (in *Instance) accept(l *wire.Link) {
 	s := l.Stub()
-	c := &caller{in: in, conn: s, open: map[uint32]*op{}}
+	c := &caller{in: in, conn: s, open: map[uint32]*asked{}}
 	s.OnOp = func(n uint32, ask wire.Ask) {
 		c.heard = true
-		in.read(c, n, ask)
+		c.ask(n, ask)
 	}
 	s.OnInterrupt = func(n uint32) {
 		c.heard = true
-		if o := c.open[n]; o != nil {
-			in.gone(o)
+		if a := c.open[n]; a != nil {
+			in.Gone(a.op)
 		}
 	}
 	s.OnCheck = func(n uint32, deep bool) {
@@ -48,11 +51,11 @@
 	s.OnEnd = func(string) {
 		delete(in.stubs, s)
 		for _, n := range slices.Sorted(maps.Keys(c.open)) {
-			in.gone(c.open[n])
+			in.Gone(c.open[n].op)
 		}
 	}
 	in.Hand(func() {
-		c.used = in.now
+		c.used = in.Now()
 		in.stubs[s] = c
 		if in.parting {
 			c.part()
@@ -68,23 +71,86 @@
 	}
 	for _, n := range slices.Sorted(maps.Keys(c.open)) {
 		c.conn.Failed(n, c.in.with())
-		c.in.gone(c.open[n])
+		c.in.Gone(c.open[n].op)
 	}
 	c.close(code)
 }
 
 // close ends a connection on which nothing is open.
 func (c *caller) close(code string) {
-	c.dying, c.used = code, c.in.now
+	c.dying, c.used = code, c.in.Now()
 	c.conn.Close(code)
 }
 
-// turnedAway answers an ask that could never be served. Danger: a client that sends the same again at once, for ever,
-// takes the loop's time from the others; after some in a row it has to come by a new connection.
-func (c *caller) turnedAway(n uint32, code string) {
-	c.used = c.in.now
-	c.conn.Failed(n, c.in.with())
-	if c.strikes++; c.strikes >= 8 {
+// mostStrikes is how many asks in a row that could never be served end a connection. Danger: a client that sends the same again
+// at once, for ever, takes the loop's time from the others; it has to come by a new connection.
+const mostStrikes = 8
+
+// ask takes an op off the connection.
+func (c *caller) ask(n uint32, ask wire.Ask) {
+	switch {
+	case c.dying != "":
+		return
+	case c.open[n] != nil:
+		c.fault("id-twice")
+		return
+	case len(c.open) >= 32:
+		c.fault("too-many-open")
+		return
+	}
+	if before := c.in.ops[choice.OpID(ask.ID)]; before != nil {
+		if a, is := before.owed.(*asked); is && a.c == c {
+			c.fault("op-twice")
+			return
+		}
+	}
+	a := &asked{c: c, n: n}
+	c.open[n], c.used = a, c.in.Now()
+	a.op = c.in.Enter(ask, &c.badge, a)
+}
+
+// asked is an op that a stub's connection is owed the answer of: a front.Owed.
+type asked struct {
+	c  *caller
+	n  uint32
+	op front.Op
+}
+
+func (a *asked) Answer(result []byte, with front.With) {
+	a.c.strikes = 0
+	a.c.conn.Answer(a.n, result, with)
+}
+func (a *asked) Refuse(with front.With) { a.c.strikes = 0; a.c.conn.Refuse(a.n, with) }
+func (a *asked) Fail(with front.With)   { a.c.strikes = 0; a.c.conn.Failed(a.n, with) }
+
+func (a *asked) Settled() {
+	if a.c.open[a.n] == a {
+		delete(a.c.open, a.n)
+	}
+	a.c.used = a.c.in.Now()
+	a.c.leaveIfBarred()
+}
+
+// Reject answers what could never be served. What the runtime does not know ends the connection, as do several such asks in a
+// row; a certificate that no longer counts bars it.
+func (a *asked) Reject(code string, with front.With) {
+	c := a.c
+	strike := true
+	if with.Why != "" {
+		c.conn.Denied(a.n, with)
+		if standing := c.in.door.Standing(&c.badge); standing != "" {
+			c.bar(string(standing))
+			return
+		}
+		strike = identity.Forged(rights.Reason(with.Why))
+	} else {
+		c.conn.Failed(a.n, with)
+	}
+	if strike {
+		c.strikes++
+	}
+	if code == "unknown-op" || c.strikes >= mostStrikes {
+		delete(c.open, a.n) // answered; the others fail
 		c.fault(code)
 	}
 }
@@ -92,7 +158,7 @@
 // part asks a stub to send nothing new here.
 func (c *caller) part() {
 	if c.parting == 0 {
-		c.parting = max(c.in.now, 1)
+		c.parting = max(c.in.Now(), 1)
 		c.conn.GoAway()
 	}
 }
@@ -109,33 +175,33 @@
 	const handshakeFor = 3 * time.Second
 	const often = 100 * time.Millisecond
 	// Danger: a machine that stood still makes what came meanwhile look as if it had never come.
-	stood := in.now-in.swept > 5*often
-	in.swept = in.now
+	stood := in.Now()-in.swept > 5*often
+	in.swept = in.Now()
 	if in.door != nil {
 		in.sweepDoor()
 	}
 	for _, c := range in.stubs {
 		switch {
 		case c.dying != "":
-			if in.now-c.used > time.Second { // it does not take the last answers either
+			if in.Now()-c.used > time.Second { // it does not take the last answers either
 				c.conn.Cut()
 			}
-		case c.conn.Unfinished(in.wall) > patience && !stood:
+		case c.conn.Unfinished(in.Wall()) > patience && !stood:
 			c.fault("unfinished")
 		case c.conn.Proves():
-			if in.now-c.used > handshakeFor && !stood {
+			if in.Now()-c.used > handshakeFor && !stood {
 				c.close("handshake-slow")
 			}
 		case len(c.open) > 0 || c.checks > 0:
-		case !c.heard && in.now-c.used > patience && !stood:
+		case !c.heard && in.Now()-c.used > patience && !stood:
 			c.close("silent")
-		case c.parting > 0 && in.now-max(c.parting, c.used) > partingFor:
+		case c.parting > 0 && in.Now()-max(c.parting, c.used) > partingFor:
 			c.close("unused")
-		case c.parting == 0 && in.idle > 0 && in.now-c.used > in.idle:
+		case c.parting == 0 && in.idle > 0 && in.Now()-c.used > in.idle:
 			c.part()
 		}
 	}
-	in.At(in.now+often, in.sweepConnections)
+	in.At(in.Now()+often, in.sweepConnections)
 }
 
 // makeRoom ends the connection that has been unused for longest, those on which nothing was ever said first. Danger:
@@ -147,7 +213,7 @@
 	proving, most := in.net.Proving()
 	onlyProving := proving >= most // there is room for connections, but for no more handshakes
 	for _, c := range in.stubs {
-		unused := in.now - c.used
+		unused := in.Now() - c.used
 		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || unused < crossing || c.heard && unused < again ||
 			onlyProving && !c.conn.Proves() {
 			continue
--- a/internal/life/callers.go
+++ b/internal/life/callers.go
@@ -71,6 +71,11 @@
 			return o, err
 		}
 	}
+	if f.AMQP.On {
+		if err := s.queues(&o); err != nil {
+			return o, err
+		}
+	}
 	s.Sum(o.digest[:0])
 	return o, nil
 }
@@ -162,7 +167,7 @@
 	of := func(o *Operated) map[string]string {
 		t := &o.File.TLS
 		return map[string]string{"callers": strconv.FormatBool(o.Callers != nil), "tls.listen": t.Listen,
-			"tls.handshakes": strconv.Itoa(t.Handshakes), "tls.handshake-rate": fmt.Sprint(t.Rate), "log.format": o.File.Log.Format}
+			"tls.handshakes": strconv.Itoa(t.Handshakes), "tls.handshake-rate": fmt.Sprint(t.Rate), "log.format": o.File.Log.Format, "amqp": o.File.AMQP.Fixed()}
 	}
 	is, was := of(o), of(before)
 	for _, name := range slices.Sorted(maps.Keys(is)) {
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -44,6 +44,7 @@
 	if k.in, err = keep.Open(told); err != nil {
 		return err
 	}
+	attach(k.in, told, &with)
 	go k.heed(signals)
 	slog.Info("listening", "name", told.Name, "addr", told.Listen)
 	if with.Server != nil {
--- a/internal/keep/loop.go
+++ b/internal/loop/loop.go
@@ -1,4 +1,6 @@
-package keep
+// Package loop is an owner: one goroutine that alone touches some tables, takes what others hand it as batches, and fires the
+// timers. The core has one, and each front that blocks elsewhere may have its own.
+package loop
 
 import (
 	"container/heap"
@@ -21,8 +23,8 @@
 	over   bool
 }
 
-// NewLoop starts module time. Past so many calls handed over and not taken, who reads has to wait.
-func NewLoop(most int) *Loop {
+// New starts its time. Past so many calls handed over and not taken, who reads has to wait.
+func New(most int) *Loop {
 	l := &Loop{most: most, wake: make(chan struct{}, 1), began: time.Now()}
 	l.wall = l.began
 	l.taken = sync.NewCond(&l.mu)
@@ -151,3 +153,14 @@
 	heap.Pop(t).(*Timer).then()
 	return true
 }
+
+// Now is the time since the start, standing still through a batch; Wall is the same moment on the wall clock.
+func (l *Loop) Now() time.Duration { return l.now }
+func (l *Loop) Wall() time.Time    { return l.wall }
+
+// Over ends Run behind this batch; Ended tells whether it was called. Both belong to the owner.
+func (l *Loop) Over()       { l.over = true }
+func (l *Loop) Ended() bool { return l.over }
+
+// Stand has time stand at a moment, for tests of what goes by it.
+func (l *Loop) Stand(now time.Duration) { l.now, l.wall = now, l.began.Add(now) }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,6 +20,7 @@
 	Callers Callers
 	Tokens  Tokens
 	TLS     TLS
+	AMQP    AMQP
 }
 
 // Callers is who may do what. It is on if the file has any section that speaks of callers.
@@ -83,8 +84,9 @@
 	f.Callers = r.callers()
 	f.Tokens = r.tokens()
 	f.TLS = r.tls()
+	f.AMQP = r.amqp()
 	f.Callers.On = f.Callers.On || f.Tokens.On || f.TLS.On
-	r.close("caller", "role")
+	r.close("caller", "queue", "role")
 	return f, r.faults.Err()
 }
 
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -5,31 +5,18 @@
 	"math"
 	"strconv"
 	"time"
+
+	"lanewheel/internal/front"
 )
 
 // Client stubs speak MessagePack-RPC: an op is a call whose method is the op's type. Nothing outside this
 // file knows MessagePack.
 
-// Ask is what a stub says of an op. Body stays valid only during the callback that it is given to.
-type Ask struct {
-	ID, Type, Tenant, Subject string
-	At                        int64 // Unix milliseconds
-	From                      int
-	Wait                      time.Duration
-	Waits                     bool
-	Cost                      time.Duration
-	KB, Rank                  float64
-	Token                     string // empty where none is brought
-	Body                      []byte
-}
-
-// With is what an answer carries beside itself. Say under 0 is left out, as is an empty Why.
-type With struct {
-	Say   float64
-	After time.Duration
-	Last  bool
-	Why   string
-}
+// Ask and With are the seam's; here they are written and read.
+type (
+	Ask  = front.Ask
+	With = front.With
+)
 
 // Stub is a client stub's connection. The fields are its callbacks, called on the owner loop.
 type Stub struct {
@@ -61,7 +48,7 @@
 func (s *Stub) Answer(n uint32, result []byte, with With) {
 	b := append(answer(s.room(), n), 0xc0, 0x92)
 	b = appendBin(b, result)
-	s.put(with.append(b))
+	s.put(appendWith(b, with))
 }
 
 func (s *Stub) Refuse(n uint32, with With) { s.error(n, "Busy", with) }
@@ -73,7 +60,7 @@
 func (s *Stub) error(n uint32, name string, with With) {
 	b := append(answer(s.room(), n), 0x92)
 	b = appendStr(b, name)
-	s.put(append(with.append(b), 0xc0))
+	s.put(append(appendWith(b, with), 0xc0))
 }
 
 func (s *Stub) Checked(n uint32, good bool, with With) {
@@ -81,7 +68,7 @@
 	if good {
 		b[len(b)-1] = 0xc3
 	}
-	s.put(with.append(b))
+	s.put(appendWith(b, with))
 }
 
 // GoAway asks the stub to send nothing new here and to close when all is answered.
@@ -94,8 +81,8 @@
 	return binary.BigEndian.AppendUint32(append(b, 0x94, 0x01, 0xce), n)
 }
 
-// append writes the fields, a map of strings to strings.
-func (w With) append(b []byte) []byte {
+// appendWith writes the fields, a map of strings to strings.
+func appendWith(b []byte, w With) []byte {
 	at := len(b)
 	b = append(b, 0x80)
 	if w.Say >= 0 {
