--- /dev/null
+++ b/cmd/lanewheel/queue_test.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	client "github.com/rabbitmq/amqp091-go"
+
+	"lanewheel/internal/standin"
+	"lanewheel/internal/standin/broker"
+)
+
+// depot is a town that also consumes from a broker.
+type depot struct {
+	*town
+	broker *broker.Broker
+	file   string
+}
+
+const depotFile = `[amqp]
+brokers = URL
+heartbeat = 10s
+watch = WATCH
+[queue ops]
+dead-letters = dead
+rank-default = 0.5
+kb-default = 1
+floor = 4
+`
+
+// openDepot starts one; changes are pairs of text to replace in the town's configuration.
+func openDepot(file string, changes ...string) *depot {
+	d := &depot{broker: broker.New()}
+	for _, name := range []string{"ops", "dead", "replies"} {
+		d.broker.Declare(name, nil)
+	}
+	path := filepath.Join(folder, fmt.Sprintf("depot%d.ini", time.Now().UnixNano()))
+	if err := os.WriteFile(path, []byte(strings.NewReplacer("URL", d.broker.URL(), "WATCH", path+".sock").Replace(file)), 0o600); err != nil {
+		panic(err)
+	}
+	operated, d.file = path, path
+	d.town = up(changes...)
+	operated = ""
+	return d
+}
+
+func (d *depot) close() {
+	d.town.close()
+	d.broker.Close()
+}
+
+func dropped(id, kind string) client.Publishing {
+	return client.Publishing{MessageId: id, CorrelationId: id, ReplyTo: "replies", Type: kind, Timestamp: time.Now(), Expiration: "20000", Body: []byte(id)}
+}
+
+// answers waits for as many and gives them sorted; an answer sent twice counts once.
+func (d *depot) answers(n int) (all []string) {
+	standin.Until("answers", func() bool { return d.broker.Counts("replies").Ready >= n })
+	for _, p := range d.broker.Take("replies") {
+		why, _ := p.Headers["why"].(string)
+		all = append(all, strings.TrimSpace(fmt.Sprint(p.CorrelationId, " ", p.Type, " ", string(p.Body), why)))
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// A message's op runs beside the stubs' ops; a connection that drops while it runs does not run it again, and its answer goes out
+// on the next one.
+func Example_queue() {
+	d := openDepot(depotFile)
+	defer d.close()
+	d.broker.Publish("ops", dropped("m1", "pay"))
+	start := d.rt.Next()
+	fmt.Println(start["t"], start["route"])
+	d.broker.Cut()
+	standin.Until("the next connection", func() bool {
+		ever, _ := d.broker.Connections()
+		return ever == 2 && d.broker.Counts("ops").Unsettled == 1
+	})
+	d.rt.Notice("end", start["rid"].(string), "success", "one")
+	fmt.Println(d.answers(1))
+	d.broker.Publish("ops", dropped("m2", "what"))
+	s := d.stub()
+	s.Send(standin.Op(1, "view", standin.ID(1), nil))
+	fmt.Println(d.rt.Hear())
+	d.rt.Notice("end", standin.ID(1), "success", "two")
+	fmt.Println(s.Hear(), d.answers(1), d.broker.Counts("dead").Ready)
+	standin.Until("the acks", func() bool { return d.broker.Counts("ops").Acked == 2 })
+	fmt.Println(len(d.rt.Lines), d.broker.Wrong())
+	// Output:
+	// start pay
+	// [m1 acked one]
+	// start 1 route view body ""
+	// ['\x01' '\x01' <nil> ["two" map[]]] [m2 unservable unknown-type] 1
+	// 0 []
+}
+
+// Who may is the identity's matter on queues too: a told one for all of a queue, or a token each.
+func Example_queueIdentity() {
+	h := openHouse()
+	defer h.close()
+	h.close()
+	b := broker.New()
+	defer b.Close()
+	for _, name := range []string{"water", "any", "replies"} {
+		b.Declare(name, nil)
+	}
+	h.put("op.ini", h.file+fmt.Sprintf("[amqp]\nbrokers = %s\n[queue water]\nidentity = token:water-depot\n[queue any]\nidentity = message\n", b.URL()))
+	operated = h.path("op.ini")
+	h.town = up(`"tenants":[]`, `"tenants":[{"name":"water"},{"name":"roads"}]`)
+	operated = ""
+	d := &depot{town: h.town, broker: b}
+	with := func(id, name, value string) client.Publishing {
+		p := dropped(id, "view")
+		p.Headers = client.Table{name: value}
+		return p
+	}
+	h.quick()
+	b.Publish("water", with("a", "tenant", "water"))
+	b.Publish("water", with("b", "tenant", "roads"))
+	b.Publish("any", with("c", "token", h.token("k1", "roads-1")))
+	b.Publish("any", dropped("d", "view"))
+	for _, a := range d.answers(4) {
+		fmt.Println(a)
+	}
+	// Output:
+	// a acked res
+	// b denied tenant
+	// c acked res
+	// d denied no-identity
+}
+
+// The operators' commands: what is there at the broker and what is missing, ops sent and answered, the intake as it stands.
+func Example_queueCommands() {
+	d := openDepot(depotFile + "[queue none]\n")
+	defer d.close()
+	d.quick()
+	for _, line := range strings.Split(run("queue", "check", d.file), "\n") {
+		if f := strings.Fields(line); len(f) > 4 {
+			fmt.Println(f[len(f)-1], strings.Contains(line, "NOT_FOUND"))
+		}
+	}
+	fmt.Println(strings.Fields(run("queue", "send", d.file, "--queue", "ops", "--type", "view", "--count", "5"))[:9])
+	text := run("queue", "watch", d.file, "--count", "1")
+	fmt.Println(text[:1], strings.Contains(text, "takes"), strings.Contains(text, "acked:5"))
+	// Output:
+	// found false
+	// good false
+	// letters false
+	// 'none'" true
+	// [0 acked 5 no answer 0 answered twice 0]
+	// 0 true true
+}
+
+// At SIGTERM consuming stops, what runs is answered and acked, what was not started goes back, and the program ends with 0.
+func Example_queueDrain() {
+	d := openDepot(strings.Replace(depotFile, "floor = 4", "floor = 30", 1))
+	defer d.close()
+	for i := range 60 {
+		d.broker.Publish("ops", dropped(fmt.Sprintf("m%02d", i), "view"))
+	}
+	standin.Until("as many in hand as told", func() bool { return d.broker.Counts("ops").Unsettled == 30 })
+	ran := 1
+	d.rt.Notice("end", d.rt.Next()["rid"].(string), "success", "done")
+	d.terminate()
+	for line := range d.rt.Lines {
+		if line["t"] == "start" {
+			ran++
+			d.rt.Notice("end", line["rid"].(string), "success", "done")
+		}
+	}
+	code, log := d.ended()
+	counts := d.broker.Counts("ops")
+	all := d.answers(counts.Acked)
+	outcomes := map[string]int{}
+	for _, a := range all {
+		outcomes[strings.Fields(a)[1]]++
+	}
+	if outcomes["acked"] > ran || outcomes["acked"]+outcomes["failed"] != counts.Acked {
+		fmt.Println(outcomes, ran, counts)
+	}
+	fmt.Println(code, len(all) == counts.Acked, counts.Acked+counts.Ready, counts.Unsettled, strings.Contains(log, "party=broker code=stopped"))
+	// Output:
+	// 0 true 60 0 true
+}
+
+// The operators' test: over a script of cuts, the broker's count of every ack and every answer agrees with what was sent, to the
+// message, in ten runs of one script with the same totals.
+func TestQueueTotals(t *testing.T) {
+	const many = 200
+	play := func() string {
+		d := openDepot(depotFile, roomy...)
+		defer d.close()
+		var mu sync.Mutex
+		runs := map[string]int{}
+		d.rt.Work(8, 200*time.Microsecond, 7, func(id, kind string) { mu.Lock(); runs[id]++; mu.Unlock() })
+		d.db.Work()
+		d.broker.Script(broker.Fault{Connection: 1, Frame: 90}, broker.Fault{Connection: 2, Frame: 333, How: broker.Half},
+			broker.Fault{Connection: 3, Frame: 200, How: broker.Stall, For: 50 * time.Millisecond}, broker.Fault{Connection: 3, Frame: 412, How: broker.Half})
+		for i := range many {
+			d.broker.Publish("ops", dropped(fmt.Sprintf("m%03d", i), []string{"view", "pay", "list"}[i%3]))
+		}
+		standin.Until("the last ack", func() bool { c := d.broker.Counts("ops"); return c.Acked == many && c.Unsettled+c.Ready == 0 })
+		all := d.answers(many) // each was confirmed before its ack
+		outcomes := map[string]int{}
+		for _, a := range all {
+			outcomes[strings.Fields(a)[1]]++
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		twice := 0
+		for _, n := range runs {
+			if n > 1 {
+				twice++
+			}
+		}
+		if got := outcomes["acked"] + outcomes["may-have-run"]; got != many || len(runs) != outcomes["acked"] {
+			t.Errorf("%v, %d ran", outcomes, len(runs))
+		}
+		return fmt.Sprint("answers ", len(all), " acks ", d.broker.Counts("ops").Acked, " ran twice ", twice, " wrong ", d.broker.Wrong())
+	}
+	first := play()
+	t.Log(first)
+	for range 9 {
+		if again := play(); again != first {
+			t.Errorf("%s; before: %s", again, first)
+		}
+	}
+}
+
+// A flood of messages past their deadline, while a stub's ops go on at a rate: how long each of those takes, without and with it.
+//
+//	go test -run xxx -bench Flood -benchtime 1000x ./cmd/lanewheel
+func BenchmarkFlood(b *testing.B) {
+	for _, flooded := range []bool{false, true} {
+		b.Run(fmt.Sprint("flood ", flooded), func(b *testing.B) {
+			d := openDepot(depotFile, roomy...)
+			defer d.close()
+			d.quick()
+			const flood = 5_000 // a tenth of what the queues' page speaks of: ten seconds of it
+			began := time.Now()
+			var drained time.Duration
+			over := make(chan bool)
+			go func() {
+				defer close(over)
+				if !flooded {
+					return
+				}
+				for i := range flood {
+					p := dropped(fmt.Sprint(i), "view")
+					p.Timestamp, p.Expiration = time.Now().Add(-time.Hour), ""
+					d.broker.Publish("ops", p)
+				}
+				for d.broker.Counts("replies").Ready < flood {
+					time.Sleep(time.Millisecond)
+				}
+				drained = time.Since(began)
+			}()
+			s := d.stub()
+			s.Check()
+			took := hdrhistogram.New(1, 60e6, 3)
+			b.ResetTimer()
+			for n := range b.N {
+				time.Sleep(time.Until(began.Add(time.Duration(n) * 5 * time.Millisecond)))
+				at := time.Now()
+				s.Send(standin.Op(n+2, "view", fmt.Sprintf("%08x%08x", 1, n), nil, "kb", "1"))
+				if a, err := s.Answer(); err != nil || a.Error != "" {
+					b.Fatal(a, err)
+				}
+				_ = took.RecordValue(time.Since(at).Microseconds())
+			}
+			b.StopTimer()
+			<-over
+			b.ReportMetric(float64(took.ValueAtQuantile(50))/1e3, "median-ms")
+			b.ReportMetric(float64(took.ValueAtQuantile(99))/1e3, "99th-ms")
+			b.ReportMetric(drained.Seconds(), "s-to-drain")
+		})
+	}
+}
+
+// Messages a second, and what one costs an instance, beside the stubs' ops of BenchmarkOp.
+//
+//	go test -run xxx -bench Messages -benchtime 30000x ./cmd/lanewheel
+func BenchmarkMessages(b *testing.B) {
+	d := openDepot(strings.Replace(depotFile, "floor = 4", "floor = 64\nmost = 128", 1), roomy...)
+	defer d.close()
+	d.quick()
+	before, held := spent(d.cmd.Process.Pid), resident(d.cmd.Process.Pid)
+	b.ResetTimer()
+	for i := range b.N {
+		d.broker.Publish("ops", dropped(fmt.Sprint(i), "view"))
+	}
+	for c := d.broker.Counts("ops"); c.Acked < b.N; c = d.broker.Counts("ops") {
+		time.Sleep(time.Millisecond)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64((spent(d.cmd.Process.Pid)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+	b.ReportMetric(float64(resident(d.cmd.Process.Pid)-held)/1024, "MB-more")
+	outcomes := map[string]int{}
+	for _, p := range d.broker.Take("replies") {
+		outcomes[p.Type]++
+	}
+	b.ReportMetric(float64(b.N-outcomes["acked"])/float64(b.N), "turned/op")
+	began := time.Now()
+	d.broker.Cut()
+	for ever, _ := d.broker.Connections(); ever < 2 || d.broker.Counts("ops").Consumers == 0; ever, _ = d.broker.Connections() {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-to-consume-again")
+}
--- a/internal/amqp/amqp_test.go
+++ b/internal/amqp/amqp_test.go
@@ -88,7 +88,7 @@
 	if len(queues) == 0 {
 		queues = []Queue{usual}
 	}
-	return Told{Brokers: []string{b.URL()}, Queues: queues, InHand: 100, Share: 1, Remembered: 1000, RememberedIn: time.Minute,
+	return Told{Brokers: []string{b.URL()}, Queues: queues, InHand: 100, Share: 1, Unstarted: 10_000, Remembered: 1000, RememberedIn: time.Minute,
 		Heartbeat: 10 * time.Second, Repeats: map[choice.OpType]bool{"view": true, "key": true}}
 }
 
@@ -404,6 +404,42 @@
 	// tries true
 }
 
+// Two messages with one id: with the same content they are one op, and both are settled with it; with another content the second
+// is told so. A channel that the broker closes is opened anew, and what was in hand is not run again.
+func Example_twice() {
+	b, c := newBroker(), newCore()
+	var mu sync.Mutex
+	var end []func()
+	c.behave = func(ask front.Ask, body string, owed front.Owed) {
+		c.run(body)
+		mu.Lock()
+		defer mu.Unlock()
+		end = append(end, func() { owed.Answer([]byte("done "+body), front.With{}); owed.Settled() })
+	}
+	s := open(b, c, told(b))
+	defer s.close()
+	other := message("a", "pay")
+	other.Body = []byte("b")
+	b.Publish("ops", message("a", "pay"))
+	b.Publish("ops", message("a", "pay"))
+	standin.Until("both in hand", func() bool { return b.Counts("ops").Unsettled == 2 })
+	b.Publish("ops", other)
+	standin.Until("the other's end", func() bool { return b.Counts("ops").Acked == 1 })
+	b.Break()
+	standin.Until("both again", func() bool { x := b.Counts("ops"); return x.Redelivered == 2 && x.Unsettled == 2 })
+	c.Hand(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, then := range end {
+			then()
+		}
+	})
+	s.settled("ops")
+	fmt.Println(s.replies(), c.runs, b.Counts("ops").Acked)
+	// Output:
+	// [c-a acked done a c-a id-twice] map[a:1] 3
+}
+
 func state(s *stage) string {
 	say := make(chan string)
 	s.part.Hand(func() { say <- s.part.desk.State("ops") })
--- a/internal/amqp/part.go
+++ b/internal/amqp/part.go
@@ -21,10 +21,12 @@
 	Queues       []Queue
 	InHand       int // messages over all queues
 	Share        float64
+	Unstarted    int // messages a second that never become ops
 	Remembered   int
 	RememberedIn time.Duration
 	Heartbeat    time.Duration
 	TLS          *tls.Config            // for amqps addresses
+	Watch        string                 // path of a local socket that tells how the intake stands, empty for none
 	Login        string                 // user:password in place of the URLs', empty for theirs
 	Repeats      map[choice.OpType]bool // the op types that may run twice
 }
@@ -51,6 +53,7 @@
 	closed  chan struct{}
 	tally   logline.Tally[string]
 	counts  map[string]uint64 // by outcome, and what else happens
+	slow    []func()          // acks that are paced
 	said    time.Duration
 	moved   uint64
 }
@@ -83,6 +86,9 @@
 
 // Start begins to consume.
 func (p *Part) Start() {
+	if p.told.Watch != "" {
+		p.watch(p.told.Watch)
+	}
 	p.Hand(func() {
 		p.connect()
 		p.look()
@@ -120,7 +126,7 @@
 // part ends once nothing is in hand, or at the last moment; what is left then goes back with the channels.
 func (p *Part) part() {
 	s := p.session
-	if (len(p.jobs) == 0 && (s == nil || s.idle())) || p.Now() >= p.last {
+	if (len(p.jobs)+len(p.slow) == 0 && (s == nil || s.idle())) || p.Now() >= p.last {
 		p.say()
 		if s != nil {
 			s.close("stopped")
@@ -315,6 +321,10 @@
 			s.ack(j.queue.Name, tag)
 		}
 	}
+	if !ran[fate.Word] {
+		at := ack
+		ack = func() { p.paced(at) }
+	}
 	next := ack
 	if fate.Dead && j.queue.Dead != "" {
 		next = func() { s.dead(j, fate.Word, why, ack) }
@@ -326,6 +336,35 @@
 	s.answer(a, next)
 }
 
+// ran are the outcomes of messages that were runs; the others never were.
+var ran = map[string]bool{intake.Acked.Word(): true, intake.Failed.Word(): true}
+
+// paceTick is how often paced acks go out: some at a time, as each waking costs as much as a message.
+const paceTick = 10 * time.Millisecond
+
+// paced acks a message that never became an op. Danger: a flood of such, as fast as broker and core can go, leaves no time for the
+// callers who wait on a connection. Each is answered at once; the broker sends more only as they are acked.
+func (p *Part) paced(step func()) {
+	p.slow = append(p.slow, step)
+	if len(p.slow) == 1 {
+		p.At(p.Now()+paceTick, p.release)
+	}
+}
+
+func (p *Part) release() {
+	n := min(len(p.slow), max(1, int(paceTick.Seconds()*float64(p.told.Unstarted))))
+	if p.leaving {
+		n = len(p.slow)
+	}
+	for _, step := range p.slow[:n] {
+		step()
+	}
+	p.slow = append(p.slow[:0], p.slow[n:]...)
+	if len(p.slow) > 0 {
+		p.At(p.Now()+paceTick, p.release)
+	}
+}
+
 // clip bounds what a message can write into the log.
 func clip(s string) string { return s[:min(len(s), 64)] }
 
--- a/internal/amqp/session.go
+++ b/internal/amqp/session.go
@@ -30,6 +30,7 @@
 	chans   map[intake.QueueName]*channel
 	blocked bool
 	closing bool
+	why     string // the code of our own close
 	ended   bool
 	then    func() // once it is closed
 
@@ -230,6 +231,9 @@
 		return
 	}
 	s.ended = true
+	if s.why != "" {
+		code = s.why
+	}
 	s.raw.Close()
 	s.mu.Lock()
 	s.stopped = true
@@ -250,7 +254,7 @@
 	if s.closing || s.ended {
 		return
 	}
-	s.closing = true
+	s.closing, s.why = true, code
 	for _, c := range s.chans {
 		c.wanted = 0
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -21,6 +21,7 @@
 	Try   tryCommand   `cmd:"" help:"Run an instance among stand-ins for all it speaks to, under a load of client stubs."`
 	Keys  keysCommand  `cmd:"" help:"Make, publish and retire the keys that tokens are signed with."`
 	Token tokenCommand `cmd:"" help:"Issue and show tokens."`
+	Queue queueCommand `cmd:"" help:"Check, feed and watch the queues that an operator's file tells of."`
 	Cert  certCommand  `cmd:"" help:"Make an authority, issue certificates and take them back."`
 }
 
--- a/internal/command/try.go
+++ b/internal/command/try.go
@@ -18,8 +18,10 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	client "github.com/rabbitmq/amqp091-go"
 
 	"lanewheel/internal/standin"
+	"lanewheel/internal/standin/broker"
 )
 
 // tryCommand runs an instance with nothing else running.
@@ -30,6 +32,7 @@
 	Mean     time.Duration `help:"What a run takes on average on one of the runtime's two cores." default:"5ms"`
 	Seed     uint64        `help:"For chance: the same seed gives the same load." default:"1"`
 	Operator string        `help:"Operator's file for the instance." placeholder:"FILE" type:"path"`
+	AMQP     bool          `name:"amqp" help:"Send a third of the ops by a queue, with a stand-in for the broker."`
 	Token    string        `help:"File with a token that the stubs bring." placeholder:"FILE" type:"path"`
 	Log      string        `help:"File for the instance's log; without it, a file that is removed if all went well." placeholder:"FILE" type:"path"`
 }
@@ -103,9 +106,25 @@
 	if err != nil {
 		return err
 	}
+	operated := c.Operator
+	var queues *broker.Broker
+	if c.AMQP {
+		if operated != "" {
+			return errors.New("--amqp brings an operator's file of its own")
+		}
+		queues = broker.New()
+		defer queues.Close()
+		operated = filepath.Join(folder, "amqp.ini")
+		text := fmt.Sprintf("[amqp]\nbrokers = %s\n[queue try]\nrank-default = 0.5\nkb-default = 1\nwait = 10s\n", queues.URL())
+		if err := os.WriteFile(operated, []byte(text), 0o600); err != nil {
+			return err
+		}
+		queues.Declare("try", nil)
+		queues.Declare("try.answers", nil)
+	}
 	args := []string{"serve"}
-	if c.Operator != "" {
-		args = append(args, "--operator", c.Operator)
+	if operated != "" {
+		args = append(args, "--operator", operated)
 	}
 	child := exec.Command(self, args...)
 	child.Env = append(os.Environ(), "RELAY_CONFIG="+config)
@@ -137,10 +156,27 @@
 	for _, kind := range triedTypes {
 		t.kinds[kind] = &tried{took: hdrhistogram.New(1, 60e6, 3)} // 1 µs to a minute
 	}
+	if queues != nil {
+		t.kinds[byQueue] = &tried{took: hdrhistogram.New(1, 60e6, 3)}
+	}
 	began, spent := time.Now(), childCPU(child.Process.Pid)
 	done := make(chan struct{})
 	go t.progress(o.out, began, done)
+	var sent chan struct{}
+	if queues != nil {
+		sent = make(chan struct{})
+		go func() {
+			defer close(sent)
+			t.queue(c, queues)
+		}()
+		stubs := *c
+		stubs.Rate *= 2.0 / 3
+		c = &stubs
+	}
 	t.load(c, listen, token)
+	if sent != nil {
+		<-sent
+	}
 	spent = childCPU(child.Process.Pid) - spent
 	close(done)
 	_ = child.Process.Signal(syscall.SIGTERM)
@@ -246,6 +282,48 @@
 	}
 }
 
+// byQueue is the line of the table for messages.
+const byQueue = "by queue"
+
+// queue sends a third of the rate as messages, and takes their answers.
+func (t *trial) queue(c *tryCommand, b *broker.Broker) {
+	at := map[string]time.Time{}
+	began := time.Now()
+	take := func() {
+		for _, p := range b.Take("try.answers") {
+			if sent, waits := at[p.CorrelationId]; waits {
+				delete(at, p.CorrelationId)
+				a := standin.Answer{Error: p.Type}
+				switch p.Type {
+				case "acked":
+					a.Error = ""
+				case "denied":
+					a.Error, a.Fields = "Denied", map[string]any{"why": p.Headers["why"]}
+				}
+				t.answered(byQueue, time.Since(sent), a)
+			}
+		}
+	}
+	gap := time.Duration(3 / c.Rate * float64(time.Second))
+	for n := 0; time.Since(began) < c.For; n++ {
+		for next := began.Add(time.Duration(n) * gap); time.Now().Before(next); time.Sleep(time.Millisecond) {
+			take()
+		}
+		id := fmt.Sprint("m", n)
+		at[id] = time.Now()
+		t.mu.Lock()
+		t.kinds[byQueue].asked++
+		t.mu.Unlock()
+		b.Publish("try", client.Publishing{MessageId: id, CorrelationId: id, ReplyTo: "try.answers", Type: triedTypes[n%3], Timestamp: time.Now(), Body: []byte("body")})
+	}
+	for end := time.Now().Add(5 * time.Second); len(at) > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		take()
+	}
+	t.mu.Lock()
+	t.kinds[byQueue].lost = len(at)
+	t.mu.Unlock()
+}
+
 func (t *trial) answered(kind string, took time.Duration, a standin.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -295,8 +373,11 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "op type\tasked\tacked\tnacked\tfailed\tdenied\tunanswered\tmedian ms\t99th ms\t")
 	asked := 0
-	for _, kind := range triedTypes {
+	for _, kind := range append(slices.Clone(triedTypes), byQueue) {
 		k := t.kinds[kind]
+		if k == nil {
+			continue
+		}
 		asked += k.asked
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", kind, k.asked, k.acked, k.nacked, k.failed, k.denied, k.lost,
 			float64(k.took.ValueAtQuantile(50))/1e3, float64(k.took.ValueAtQuantile(99))/1e3)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -162,6 +162,16 @@
 	return sum
 }
 
+// InHand is how many messages of a queue are in hand; Level how many over all queues it lets in.
+func (d *Desk) InHand(name QueueName) int {
+	if q := d.of(name); q != nil {
+		return q.hand
+	}
+	return 0
+}
+
+func (d *Desk) Level() int { return int(d.level) }
+
 // Closed is why nothing is taken, empty if something is.
 func (d *Desk) Closed() string { return d.closed }
 
@@ -196,6 +206,7 @@
 		return
 	}
 	cores := max(1, load.Cores)
+	d.level = max(d.level, float64(d.floors())) // room that was short may be back
 	switch {
 	case nacked > 0, !load.Well, float64(load.Held) > 2*cores:
 		d.level = max(float64(d.floors()), d.level*down)
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,352 @@
+package intake
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lanewheel/internal/front"
+)
+
+// Property tests draw the same scenes each time.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var calm = front.Load{Up: true, Well: true, Cores: 4, Room: 1000}
+
+// An instance with room takes more as long as what it takes is used; saturated it lets go of all but the floors, and when it
+// leaves, or what it needs is down, it takes nothing.
+func Example() {
+	d := NewDesk([]Queue{{Name: "ops", Weight: 1, Floor: 2, Most: 50}}, 30)
+	now := time.Duration(0)
+	look := func(load front.Load, blocked bool) {
+		now += Every
+		d.Look(now, load, blocked)
+		for range d.Limit("ops") - d.Hand() {
+			d.Taken("ops")
+		}
+		fmt.Print(d.Limit("ops"), " ")
+	}
+	for range 9 {
+		look(calm, false)
+	}
+	fmt.Println(d.State("ops"))
+	for range 9 {
+		d.Nacked()
+		look(calm, false)
+	}
+	fmt.Println(d.State("ops"))
+	busy := calm
+	busy.Held = 20
+	look(busy, false)
+	look(calm, true)
+	fmt.Println(d.State("ops"))
+	for _, change := range []func(*front.Load){func(l *front.Load) { l.Up = false }, func(l *front.Load) { l.Leaving = true }, func(l *front.Load) { l.Room = 0 }} {
+		load := calm
+		change(&load)
+		look(load, false)
+		fmt.Println(d.State("ops"))
+	}
+	// Output:
+	// 2 6 10 14 18 22 26 30 30 open
+	// 21 14 10 7 5 3 2 2 2 open
+	// 2 0 blocked
+	// 0 runtime-down
+	// 0 leaving
+	// 0 memory
+}
+
+// Floors first, then the higher priority, then weights; a queue that has nothing leaves its part to the others.
+func Example_queues() {
+	d := NewDesk([]Queue{{Name: "low", Weight: 1, Floor: 2, Most: 50}, {Name: "a", Weight: 3, Priority: 1, Floor: 1, Most: 50},
+		{Name: "b", Weight: 1, Priority: 1, Floor: 1, Most: 50}}, 24)
+	now := time.Duration(0)
+	show := func(busy ...QueueName) {
+		for range 20 {
+			now += Every
+			d.Look(now, calm, false)
+			for _, q := range d.queues {
+				for slices.Contains(busy, q.Name) && q.hand < q.limit {
+					q.hand++
+				}
+			}
+		}
+		fmt.Println("low", d.Limit("low"), "a", d.Limit("a"), "b", d.Limit("b"))
+		for _, q := range d.queues {
+			q.hand = 0
+		}
+	}
+	show("low", "a", "b")
+	show("low", "a")
+	show("low")
+	// Output:
+	// low 2 a 16 b 6
+	// low 2 a 18 b 4
+	// low 16 a 4 b 4
+}
+
+// A queue whose messages fail is probed ever more seldom, and comes back a few at a time.
+func Example_failing() {
+	d := NewDesk([]Queue{{Name: "ops", Weight: 1, Floor: 4, Most: 50}}, 30)
+	now := time.Duration(0)
+	broken := true
+	took := 0
+	say := ""
+	for range 400 {
+		now += Every
+		d.Look(now, calm, false)
+		for d.Hand() < d.Limit("ops") {
+			d.Taken("ops")
+			took++
+		}
+		for n := d.Hand(); n > 0; n-- {
+			d.Settled("ops")
+			d.Ended(now, "ops", broken)
+		}
+		if state := d.State("ops"); state != say {
+			fmt.Println(now, state, "taken", took)
+			say = state
+		}
+		broken = now < 20*time.Second
+	}
+	// Output:
+	// 100ms open taken 4
+	// 200ms probing taken 8
+	// 31.2s coming taken 13
+	// 31.6s open taken 24
+}
+
+// What becomes of a message.
+func Example_settle() {
+	b := NewBudget(0.1)
+	plain, retry := Told{Attempts: 3, Dead: true}, Told{Attempts: 3, Retry: true, Delay: time.Second, Dead: true}
+	show := func(name string, m Message, t Told, how Outcome, after time.Duration) {
+		f := b.Settle(m, t, how, after, 0.5)
+		fmt.Printf("%s: answer %v %s dead %v then %s in %v\n", name, f.Answer, f.Word, f.Dead, [...]string{"ack", "requeue", "reject"}[f.Then], f.Wait)
+	}
+	m := Message{Left: 10 * time.Second, Twice: true}
+	show("acked", m, plain, Acked, 0)
+	show("nacked", m, plain, Nacked, 0)
+	show("nacked, come later", m, plain, Nacked, 2*time.Second)
+	show("nacked, retry queue", m, retry, Nacked, 0)
+	show("nacked, no time", Message{Left: 20 * time.Millisecond}, plain, Nacked, 0)
+	show("nacked, no time for the retry queue", Message{Left: time.Second}, retry, Nacked, 0)
+	show("nacked, last attempt", Message{Left: time.Minute, Attempt: 2}, retry, Nacked, 0)
+	show("failed", m, retry, Failed, 0)
+	show("denied", m, plain, Denied, 0)
+	show("drained", m, retry, Drained, 0)
+	show("drained, must not run twice", Message{Left: time.Second}, retry, Drained, 0)
+	put := 0
+	for range 100 {
+		if !b.Settle(m, plain, Nacked, 0, 0).Answer {
+			put++
+		}
+	}
+	for range 50 {
+		b.Fresh()
+	}
+	fmt.Println("budget", put, b.Settle(m, plain, Nacked, 0, 0).Answer)
+	// Output:
+	// acked: answer true acked dead false then ack in 0s
+	// nacked: answer false  dead false then requeue in 50ms
+	// nacked, come later: answer false  dead false then requeue in 2s
+	// nacked, retry queue: answer false  dead false then reject in 50ms
+	// nacked, no time: answer true failed dead true then ack in 0s
+	// nacked, no time for the retry queue: answer true failed dead true then ack in 0s
+	// nacked, last attempt: answer true out-of-attempts dead true then ack in 0s
+	// failed: answer true failed dead true then ack in 0s
+	// denied: answer true denied dead true then ack in 0s
+	// drained: answer false  dead false then requeue in 0s
+	// drained, must not run twice: answer false  dead false then reject in 0s
+	// budget 7 false
+}
+
+// The intake against its bounds, whatever the queues, loads and ends: never more than told, floors kept while it is open, nothing
+// while it is closed.
+func TestDesk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var queues []Queue
+		floors := 0
+		for i := range rapid.IntRange(1, 4).Draw(t, "queues") {
+			q := Queue{Name: QueueName(fmt.Sprint("q", i)), Weight: rapid.Float64Range(0.01, 10).Draw(t, "weight"),
+				Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Floor: rapid.IntRange(0, 3).Draw(t, "floor"), Most: rapid.IntRange(3, 40).Draw(t, "most")}
+			queues = append(queues, q)
+			floors += q.Floor
+		}
+		most := rapid.IntRange(max(1, floors), 60).Draw(t, "in hand")
+		d := NewDesk(queues, most)
+		now := time.Duration(0)
+		for range 40 {
+			now += time.Duration(rapid.IntRange(60, 400).Draw(t, "ms")) * time.Millisecond
+			load := front.Load{Up: rapid.IntRange(0, 9).Draw(t, "up") > 0, Well: rapid.Bool().Draw(t, "well"), Cores: 2,
+				Held: rapid.IntRange(0, 9).Draw(t, "held"), Room: rapid.IntRange(0, 100).Draw(t, "room")}
+			if rapid.Bool().Draw(t, "nacked") {
+				d.Nacked()
+			}
+			d.Look(now, load, false)
+			sum := 0
+			for _, q := range queues {
+				limit := d.Limit(q.Name)
+				sum += limit
+				if limit < 0 || limit > q.Most {
+					t.Fatalf("%s may have %d of %d", q.Name, limit, q.Most)
+				}
+				if d.Closed() != "" && limit > 0 {
+					t.Fatal("closed, and takes")
+				}
+				if d.Closed() == "" && d.State(q.Name) == "open" && load.Room >= floors && limit < q.Floor {
+					t.Fatalf("%s is below its floor: %d", q.Name, limit)
+				}
+			}
+			if sum > most+len(queues) { // a probe each at the most
+				t.Fatalf("%d in hand, told %d", sum, most)
+			}
+			for _, q := range queues {
+				for d.of(q.Name).hand < d.Limit(q.Name) && rapid.Bool().Draw(t, "comes") {
+					d.Taken(q.Name)
+				}
+				for d.of(q.Name).hand > 0 && rapid.Bool().Draw(t, "ends") {
+					d.Settled(q.Name)
+					d.Ended(now, q.Name, rapid.Bool().Draw(t, "failed"))
+				}
+			}
+		}
+	})
+}
+
+// The memory against a list of all that ever happened: nothing runs twice that must not, what runs is not run beside itself, what
+// was answered and confirmed is not answered again, and the tags in hand are those of connections that stand.
+func TestMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMemory(1000, time.Hour)
+		type truth struct {
+			running, answered, sure, put, ever bool
+			tags                               map[Tag]bool
+		}
+		all := map[MessageID]*truth{}
+		tag, conn := uint64(0), uint64(1)
+		for range 60 {
+			id := MessageID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"))
+			x := all[id]
+			if x == nil {
+				x = &truth{tags: map[Tag]bool{}}
+				all[id] = x
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				tag++
+				here := Tag{conn, tag}
+				redelivered, twice := rapid.Bool().Draw(t, "redelivered"), rapid.Bool().Draw(t, "twice")
+				step, _ := m.Came(0, id, 7, here, redelivered, twice)
+				want := Run
+				switch {
+				case x.running:
+					want = Join
+				case x.sure:
+					want = Done
+				case x.answered:
+					want = Again
+				case x.put:
+				case !x.ever && redelivered && !twice:
+					want = Unknown
+				}
+				if step != want {
+					t.Fatalf("%s: step %d, want %d of %+v", id, step, want, x)
+				}
+				if step == Run || step == Unknown || step == Join {
+					x.running, x.ever, x.put = true, true, false
+					x.tags[here] = true
+				}
+			case 2:
+				if x.running {
+					tags := m.Answered(0, id, "answer")
+					if len(tags) != len(x.tags) {
+						t.Fatalf("%s: %v in hand, want %v", id, tags, x.tags)
+					}
+					x.running, x.answered, x.tags = false, true, map[Tag]bool{}
+				}
+			case 3:
+				if x.running && rapid.Bool().Draw(t, "put back") {
+					m.PutBack(0, id)
+					x.running, x.put, x.tags = false, true, map[Tag]bool{}
+				} else if x.answered {
+					m.Confirmed(id)
+					x.sure = true
+				}
+			case 4:
+				m.Dropped(conn)
+				conn++
+				for _, x := range all {
+					clear(x.tags)
+				}
+			}
+		}
+	})
+}
+
+// What is remembered has a bound in count and in age.
+func Example_memoryBounds() {
+	m := NewMemory(100, time.Minute)
+	for i := range 10_000 {
+		id := MessageID(fmt.Sprint(i))
+		m.Came(time.Duration(i), id, 0, Tag{1, uint64(i)}, false, true)
+		m.Answered(time.Duration(i), id, nil)
+	}
+	fmt.Println(m.Len() <= 101, m.InHand())
+	m.Came(time.Hour, "new", 0, Tag{}, false, true)
+	fmt.Println(m.Len())
+	// Output:
+	// true 0
+	// 1
+}
+
+// The acks of a channel against the deliveries themselves: one that covers several covers only what is done.
+func TestAcks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a Acks
+		state := map[uint64]string{} // open, done, acked, dropped
+		tag := uint64(0)
+		for range 80 {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				tag++
+				a.Took(tag)
+				state[tag] = "open"
+			case 1, 2:
+				if x := uint64(rapid.IntRange(1, 80).Draw(t, "tag")); state[x] == "open" {
+					if rapid.IntRange(0, 4).Draw(t, "drop") == 0 {
+						a.Drop(x)
+						state[x] = "dropped"
+					} else {
+						a.Done(x)
+						state[x] = "done"
+					}
+				}
+			case 3:
+				for _, c := range a.Flush() {
+					if state[c.Tag] != "done" {
+						t.Fatalf("acks %d, which is %s", c.Tag, state[c.Tag])
+					}
+					for x := uint64(1); x <= c.Tag; x++ {
+						if (c.Multiple || x == c.Tag) && state[x] == "open" {
+							t.Fatalf("the ack of %d covers %d, which is not done", c.Tag, x)
+						} else if (c.Multiple || x == c.Tag) && state[x] == "done" {
+							state[x] = "acked"
+						}
+					}
+				}
+				for x, s := range state {
+					if s == "done" {
+						t.Fatalf("%d is done and not acked", x)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -36,7 +36,13 @@
 		logline.Start(os.Stderr, with.File.Log.Format)
 	}
 	// One processor for each core told, and no more: a second one on a part of a core wakes and sleeps for each message.
-	runtime.GOMAXPROCS(int(math.Ceil(told.Cores)))
+	processors := int(math.Ceil(told.Cores))
+	// A further front waits for its sockets otherwise than the poller does, which keeps a processor for up to 10 ms while it waits:
+	// with one alone the 99th percentile of stubs' ops under a flood of messages is 7.3 ms instead of 4.5.
+	if with.File.AMQP.On {
+		processors++
+	}
+	runtime.GOMAXPROCS(processors)
 	// Half the limit: the rest is for what the kernel and the binary itself take.
 	debug.SetMemoryLimit(int64(told.MemoryMB * (1 << 19)))
 	k := &keeper{path: path, operated: operated, with: with, pause: func() { time.Sleep(still) }}
--- a/internal/operator/amqp.go
+++ b/internal/operator/amqp.go
@@ -44,6 +44,7 @@
 		}
 	}
 	s.path("login", &a.Login)
+	s.path("watch", &t.Watch)
 	s.path("authorities", &a.Authorities)
 	s.path("certificate", &a.Certificate)
 	s.path("key", &a.Key)
@@ -54,6 +55,9 @@
 	s.count("in-hand", &t.InHand, 1, 60_000)
 	t.Share = 0.2
 	s.number("retry-share", &t.Share, 0, 1)
+	// A message that never becomes an op costs some 60 µs: a thirtieth of a core.
+	t.Unstarted = 500
+	s.count("unstarted-rate", &t.Unstarted, 10, 1_000_000)
 	t.Remembered = 20_000 // some minutes of a busy queue
 	s.count("remembered", &t.Remembered, 100, 10_000_000)
 	t.RememberedIn = 10 * time.Minute
--- a/internal/standin/broker/broker.go
+++ b/internal/standin/broker/broker.go
@@ -163,6 +163,19 @@
 	}
 }
 
+// Break closes all channels that consume, as over a wrong settlement.
+func (b *Broker) Break() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		for _, ch := range c.channels {
+			if len(ch.consumers) > 0 {
+				ch.close(406, "PRECONDITION_FAILED")
+			}
+		}
+	}
+}
+
 // Publish puts a message in a queue.
 func (b *Broker) Publish(name string, p amqp.Publishing) {
 	b.mu.Lock()
