Recorder of the module's decisions: 3,000 random scenes as digests; answers and dead letters at once

And in the queues' front an answer that was confirmed was only noted with its paced ack, so a lost connection in between would have sent it again.

Change: choice/decisions_test.go plays seeded scenes (types, tenants, quotas, calls, hints, drains, crowds, cold starts, clocks and gauges that jump) against a port that notes all to the nanosecond; six blocks of fifty in each test, sixty by -blocks 60.

--- /dev/null
+++ b/choice/decisions_test.go
@@ -0,0 +1,250 @@
+package choice
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The decisions of some thousands of random scenes, as digests: a change that is to decide the same has to give the same. Each
+// digest is that of a block of scenes. All blocks:  go test -run SameDecisions ./choice -blocks 60
+// Recorded anew, when decisions are meant to change:  go test -run SameDecisions ./choice -blocks 60 -record
+var (
+	blocks = flag.Int("blocks", 6, "how many blocks of scenes TestSameDecisions plays")
+	record = flag.Bool("record", false, "write the digests of TestSameDecisions instead of comparing them")
+)
+
+const blockOf, decisionsFile = 50, "testdata/decisions"
+
+// recorder is a port that writes down all it is told, to the nanosecond.
+type recorder struct {
+	hash   hash.Hash64
+	now    time.Duration
+	desk   *Desk
+	atCall map[OpID]func()
+	ended  map[OpID]func(Ending, time.Duration)
+	called map[OpID]func(Ending, time.Duration)
+	wakes  []wake
+	said   int
+}
+
+func (r *recorder) say(format string, a ...any) {
+	r.said++
+	fmt.Fprintf(r.hash, "%d "+format+"\n", append([]any{r.now}, a...)...)
+}
+
+func (r *recorder) Now() time.Duration { return r.now }
+func (r *recorder) Run(id OpID, atCall func(), ended func(Ending, time.Duration)) {
+	r.say("run %s", id)
+	r.atCall[id], r.ended[id] = atCall, ended
+}
+func (r *recorder) Stop(id OpID) { r.say("stop %s", id) }
+func (r *recorder) Fail(id OpID) { r.say("fail %s", id) }
+func (r *recorder) Share(id OpID, ended func(Ending, time.Duration)) {
+	r.say("share %s", id)
+	r.ended[id] = ended
+}
+func (r *recorder) Nack(id OpID, away time.Duration, nowhere bool) {
+	r.say("nack %s %d %v", id, away, nowhere)
+}
+func (r *recorder) Call(id OpID, until time.Duration, done func(Ending, time.Duration)) {
+	r.say("call %s %d", id, until)
+	r.called[id] = done
+}
+func (r *recorder) SkipCall(id OpID)                    { r.say("skip %s", id) }
+func (r *recorder) KeepKey(id OpID, span time.Duration) { r.say("keep %s %d", id, span) }
+func (r *recorder) DropKey(id OpID)                     { r.say("drop %s", id) }
+func (r *recorder) Health(good, stored bool)            { r.say("health %v %v", good, stored) }
+func (r *recorder) Signal(level float64)                { r.say("signal %v", level) }
+func (r *recorder) IdleFor(span time.Duration)          { r.say("idle %d", span) }
+func (r *recorder) Note(line string)                    { r.say("note %s", line) }
+func (r *recorder) Wake(at time.Duration, then func(map[string]float64)) {
+	r.say("wake %d", at)
+	r.wakes = append(r.wakes, wake{at, then})
+}
+
+// pick gives one of a map's keys, by chance but not by the map's order.
+func pick[T any](chance *rand.Rand, m map[OpID]T) (OpID, bool) {
+	if len(m) == 0 {
+		return "", false
+	}
+	ids := slices.Sorted(maps.Keys(m))
+	return ids[chance.IntN(len(ids))], true
+}
+
+// play plays one scene: types, tenants, quotas, calls, hints, drains, crowds, cold starts, times and gauges that jump.
+func play(seed uint64) (uint64, int) {
+	c := rand.New(rand.NewPCG(seed, 18))
+	r := &recorder{hash: fnv.New64a(), atCall: map[OpID]func(){}, ended: map[OpID]func(Ending, time.Duration){},
+		called: map[OpID]func(Ending, time.Duration){}}
+	ms := func(least, most int) time.Duration {
+		return time.Duration(least+c.IntN(most-least+1)) * time.Millisecond
+	}
+	one := func(words ...string) string { return words[c.IntN(len(words))] }
+	var types []Facts
+	for i := range 1 + c.IntN(3) {
+		target := ms(200, 2000)
+		types = append(types, Facts{"name": fmt.Sprint("t", i), "importance": float64(1 + c.IntN(3)), "target latency": target,
+			"op timeout": target + ms(0, 3000), "late share": []float64{0, 0, 0.3, 0.6}[c.IntN(4)], "repeats": one("retryable", "retryable", "keyed", "non-retryable"),
+			"repeat window": ms(500, 5000), "target stretch": []float64{0, 0, 4}[c.IntN(3)]})
+	}
+	var tenants []Facts
+	for i := range c.IntN(4) {
+		tenants = append(tenants, Facts{"name": fmt.Sprint("w", i), "quota a second": float64(1 + c.IntN(50))})
+	}
+	cores := 1 + c.IntN(8)
+	facts := Facts{"op types": types, "tenants": tenants, "cores": float64(cores), "run memory factor": float64(1 + c.IntN(4)),
+		"memory KB": float64(200 + c.IntN(4000)), "tick": 2 * time.Millisecond, "crowd a core": []float64{0, 4, 8}[c.IntN(3)],
+		"drain grace": ms(0, 1000), "below": one("shared", "next tier", "none"), "call share": []float64{0, 0.3, 2, 8}[c.IntN(4)],
+		"calls over": ms(1000, 5000), "given-up call lingers": ms(0, 300), "skip share by type": []float64{0, 0.5, 0}[:1+c.IntN(3)],
+		"halt": one("drop", "pause", "none"), "stay away is passed on": c.IntN(2) == 0, "longest stay away": ms(500, 3000),
+		"signal": one("chance", "least rank", "tokens", "none"), "just started": c.IntN(3) == 0, "warm within": ms(0, 5000),
+		"cold speed share": 0.3, "key KB": float64(c.IntN(3)), "fleet size": float64(1 + c.IntN(5)), "callers": 4.0,
+		"connections idle": ms(1000, 30000), "shared reads for": []time.Duration{0, 0, time.Second}[c.IntN(3)]}
+	r.desk = Open(seed, facts, r)
+	runs := time.Duration(5+c.IntN(60)) * time.Millisecond // of one op, about
+	gauges := func() map[string]float64 {
+		switch c.IntN(8) {
+		case 0:
+			return nil
+		case 1:
+			return map[string]float64{"cores busy": c.Float64()}
+		}
+		return map[string]float64{"want a core": float64(c.IntN(3 * cores)), "cores busy": c.Float64()}
+	}
+	n, left := 0, false
+	read := func(batch int) {
+		for range batch {
+			n++
+			t := types[c.IntN(len(types))]
+			a := Arrival{ID: OpID(fmt.Sprintf("%016x", n)), Type: OpType(t.text("name")), Rank: c.Float64(), Retry: c.IntN(5) == 0,
+				Write: c.IntN(2) == 0, Caller: CallerID(c.IntN(6)), Hint: time.Duration(c.ExpFloat64() * float64(runs)), KB: 1 + 20*c.Float64()}
+			if c.IntN(3) == 0 {
+				a.Hint = []time.Duration{0, runs, 100 * runs}[c.IntN(3)]
+			}
+			if c.IntN(3) == 0 {
+				a.Lay = ms(0, 400)
+			}
+			if c.IntN(2) == 0 {
+				a.Waits, a.ToldWait = true, r.now-a.Lay+ms(10, 3000)
+			}
+			if !a.Write {
+				a.Subject = one("", "k1", "k2")
+			}
+			if len(tenants) > 0 {
+				a.Tenant = TenantID(tenants[c.IntN(len(tenants))].text("name"))
+			}
+			r.desk.Read(a)
+		}
+	}
+	for range 150 {
+		switch c.IntN(40) {
+		case 0:
+			read(20 + c.IntN(150))
+		case 1:
+			r.now += ms(100, 2000)
+		case 2:
+			if c.IntN(20) == 0 {
+				r.now += time.Minute
+			}
+		case 3:
+			if !left && c.IntN(25) == 0 {
+				left = true
+				r.desk.Leave(r.now + ms(500, 3000))
+			}
+		default:
+			read(c.IntN(6))
+		}
+		r.now += ms(0, 20)
+		for range c.IntN(cores + 2) {
+			if id, any := pick(c, r.ended); any {
+				switch done, at := r.ended[id], r.atCall[id]; {
+				case at != nil && c.IntN(4) == 0 && r.called[id] == nil:
+					at()
+				case r.called[id] == nil:
+					delete(r.ended, id)
+					how := Acked
+					if c.IntN(10) == 0 {
+						how = []Ending{Failed, Cancelled, Moot}[c.IntN(3)]
+					}
+					done(how, time.Duration((0.2+c.ExpFloat64())*float64(runs)))
+				}
+			}
+		}
+		for range c.IntN(3) {
+			if id, any := pick(c, r.called); any {
+				done := r.called[id]
+				delete(r.called, id)
+				done([]Ending{Acked, Acked, Acked, Failed, Full, GivenUp, Unreached, Broken}[c.IntN(8)], ms(1, 100))
+			}
+		}
+		if n > 0 && c.IntN(10) == 0 {
+			r.desk.Gone(OpID(fmt.Sprintf("%016x", 1+c.IntN(n))))
+		}
+		r.desk.Settle()
+		due := r.wakes
+		r.wakes = nil
+		for _, w := range due {
+			if w.at <= r.now {
+				w.then(gauges())
+			} else {
+				r.wakes = append(r.wakes, w)
+			}
+		}
+		r.desk.Settle()
+	}
+	return r.hash.Sum64(), r.said
+}
+
+func TestSameDecisions(t *testing.T) {
+	digests, said := make([]uint64, *blocks), make([]int, *blocks)
+	var all sync.WaitGroup
+	for b := range *blocks {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			h := fnv.New64a()
+			for i := range blockOf {
+				digest, n := play(uint64(b*blockOf + i))
+				fmt.Fprintln(h, digest)
+				said[b] += n
+			}
+			digests[b] = h.Sum64()
+		}()
+	}
+	all.Wait()
+	if *record {
+		var text strings.Builder
+		for b, d := range digests {
+			fmt.Fprintf(&text, "%d %016x %d\n", b, d, said[b])
+		}
+		if err := os.WriteFile(decisionsFile, []byte(text.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	f, err := os.Open(decisionsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for b := range *blocks {
+		if !lines.Scan() {
+			t.Fatalf("%s has %d blocks, wants %d", decisionsFile, b, *blocks)
+		}
+		if want, is := lines.Text(), fmt.Sprintf("%d %016x %d", b, digests[b], said[b]); is != want {
+			t.Errorf("block %s, was %s", is, want)
+		}
+	}
+}
--- /dev/null
+++ b/choice/held_test.go
@@ -0,0 +1,55 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What one op costs the module while so many are held and the cores are busy: one comes, one ends, one starts. Targets are long,
+// so nothing is weeded out.
+//
+//	go test -run xxx -bench Held ./choice
+func BenchmarkHeld(b *testing.B) {
+	for _, held := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			long := Facts{"name": "low", "importance": 1.0, "target latency": 1e6 * time.Second, "op timeout": 3e6 * time.Second, "repeats": "retryable"}
+			s := open(Facts{"op types": []Facts{long}, "memory KB": 1e12, "cores": 4.0})
+			s.quiet = true
+			n := 0
+			add := func() {
+				n++
+				s.desk.Read(Arrival{ID: OpID(fmt.Sprint(n)), Type: "low", Hint: 10 * time.Millisecond, Rank: 0.1, KB: 1})
+			}
+			end := func(most int) {
+				for id, done := range s.ended {
+					delete(s.ended, id)
+					done(Acked, 10*time.Millisecond)
+					if most--; most == 0 {
+						break
+					}
+				}
+			}
+			for range 64 {
+				add()
+				s.desk.Settle()
+				s.now += 10 * time.Millisecond
+				end(-1)
+				s.desk.Settle()
+			}
+			for range held {
+				add()
+			}
+			s.desk.Settle()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				s.now += time.Millisecond
+				add()
+				end(1)
+				s.wakes = s.wakes[:0]
+				s.desk.Settle()
+			}
+		})
+	}
+}
--- a/internal/amqp/part.go
+++ b/internal/amqp/part.go
@@ -302,7 +302,7 @@
 	p.finish(j, a, fate, why, tags)
 }
 
-// finish answers, copies to the dead-letter queue and acks, each step once the one before is confirmed.
+// finish answers, copies to the dead-letter queue, and acks once both are confirmed.
 func (p *Part) finish(j *job, a *answering, fate intake.Fate, why string, tags []intake.Tag) {
 	p.counts[fate.Word]++
 	if fate.Word != intake.Acked.Word() && p.tally.Line(fate.Word, time.Now()) {
@@ -312,28 +312,37 @@
 	if s == nil {
 		return // it comes again, and finds its answer remembered
 	}
-	ack := func() {
-		if p.session != s {
+	dead := fate.Dead && j.queue.Dead != ""
+	wait := 0 // for so many confirmations
+	confirmed := func() {
+		if wait--; wait > 0 {
 			return
 		}
 		p.memory.Confirmed(j.msg.ID)
-		for _, tag := range tags {
-			s.ack(j.queue.Name, tag)
+		ack := func() {
+			for _, tag := range tags {
+				s.ack(j.queue.Name, tag)
+			}
+		}
+		if ran[fate.Word] {
+			ack()
+		} else {
+			p.paced(ack)
 		}
 	}
-	if !ran[fate.Word] {
-		at := ack
-		ack = func() { p.paced(at) }
+	if dead {
+		wait++
 	}
-	next := ack
-	if fate.Dead && j.queue.Dead != "" {
-		next = func() { s.dead(j, fate.Word, why, ack) }
+	if a.to != "" {
+		wait++
+		s.answer(a, confirmed)
 	}
-	if a.to == "" {
-		next()
-		return
+	if dead {
+		s.dead(j, fate.Word, why, confirmed)
+	}
+	if wait == 0 {
+		confirmed()
 	}
-	s.answer(a, next)
 }
 
 // ran are the outcomes of messages that were runs; the others never were.
