Decisions at many held ops: a type's figures once a moment, lists used again; the same decisions

A profile at 10,000 held had half of it in work and scale, the rest in order, weed, owed and memory.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,7 +19,7 @@
 	d := &Desk{port: port, facts: facts, seed: seed, began: port.Now(), state: "well", level: -1,
 		types: map[OpType]*opType{}, tenant: map[TenantID]*tenant{}, ops: map[OpID]*op{},
 		cores: max(1, int(facts.num("cores")))}
-	d.grown = d.cores
+	d.grown, d.tick = d.cores, facts.span("tick")
 	kinds, _ := facts["op types"].([]Facts)
 	for i, k := range kinds {
 		t := &opType{name: OpType(k.text("name")), index: i, importance: k.num("importance"),
@@ -28,6 +28,11 @@
 			repeats: k.text("repeats"), window: k.span("repeat window")}
 		d.types[t.name] = t
 	}
+	bands := map[float64]bool{}
+	for _, k := range d.types {
+		bands[k.importance] = true
+	}
+	d.bands = len(bands)
 	tenants, _ := facts["tenants"].([]Facts)
 	for _, t := range tenants {
 		d.tenant[TenantID(t.text("name"))] = &tenant{quota: t.num("quota a second")}
@@ -276,6 +281,7 @@
 	if how == Acked {
 		// 24 runs: a second or two of work at the usual rates, enough for a line through them.
 		o.kind.ran = lastOf(o.kind.ran, sample{now, took, o.Hint, crowd}, 24)
+		o.kind.acked++
 	}
 	if how == Cancelled && !o.answered { // stopped by no wish of ours: the answer is still owed
 		o.answered = true
@@ -424,39 +430,49 @@
 	return k.ran
 }
 
+// fit is what the last runs of a type say, worked out once a moment and not for each op.
+func (d *Desk) fit(k *opType) *fit {
+	now := d.port.Now()
+	if f := &k.fit; f.known && f.at == now && f.acked == k.acked {
+		return f
+	}
+	ran := k.recent(now)
+	f := fit{known: true, at: now, acked: k.acked, runs: len(ran), bend: 1, hint: meanHint(ran).Seconds()}
+	hints, crowds := make([]point, len(ran)), make([]point, len(ran))
+	for i, s := range ran {
+		f.sum += time.Duration(float64(s.took) / d.perCore(s.crowd))
+		f.crowd += s.crowd / float64(len(ran))
+		hints[i] = point{s.hint.Seconds() / f.hint, s.took.Seconds() / d.perCore(s.crowd)}
+		crowds[i] = point{s.crowd, s.took.Seconds()}
+	}
+	if at, slope, spread := line(hints); len(ran) >= 8 && spread > 0.01 && at > 0 {
+		f.bend = min(1, max(0.25, slope/at))
+	}
+	f.took, f.slope, f.spread = line(crowds)
+	k.fit = f
+	return &k.fit
+}
+
 // work is the paper's r: the mean run time over running per core, scaled by the hint over the mean hint.
 func (d *Desk) work(o *op) time.Duration {
-	ran := o.kind.recent(d.port.Now())
-	if len(ran) == 0 {
+	f := d.fit(o.kind)
+	if f.runs == 0 {
 		if o.Hint > 0 {
 			return time.Duration(float64(o.Hint) / d.speedShare())
 		}
 		return o.kind.target / 8 // nothing is known: an eighth of the target lets the first runs in
 	}
-	var sum time.Duration
-	for _, s := range ran {
-		sum += time.Duration(float64(s.took) / d.perCore(s.crowd))
-	}
-	return time.Duration(float64(sum) / float64(len(ran)) * d.scale(o, ran))
+	return time.Duration(float64(f.sum) / float64(f.runs) * f.scale(o.Hint))
 }
 
 // scale is how much longer than the mean an op of this hint runs: a line through the last runs, as a part of
 // each, waits on disk and calls above all, does not grow with the hint; in proportion while they are under
 // eight or their hints nearly alike. It is held to a quarter and eight times, since a hint may be rough.
-func (d *Desk) scale(o *op, ran []sample) float64 {
-	mean := meanHint(ran).Seconds()
-	if mean <= 0 || o.Hint <= 0 {
+func (f *fit) scale(hint time.Duration) float64 {
+	if f.hint <= 0 || hint <= 0 {
 		return 1
 	}
-	far := o.Hint.Seconds()/mean - 1
-	points := make([]point, len(ran))
-	for i, s := range ran {
-		points[i] = point{s.hint.Seconds() / mean, s.took.Seconds() / d.perCore(s.crowd)}
-	}
-	if at, slope, spread := line(points); len(points) >= 8 && spread > 0.01 && at > 0 {
-		far *= min(1, max(0.25, slope/at))
-	}
-	return min(8, max(0.25, 1+far))
+	return min(8, max(0.25, 1+(hint.Seconds()/f.hint-1)*f.bend))
 }
 
 // timeFor is the paper's T: r times running per core, with so many running.
@@ -467,18 +483,11 @@
 // fitted is the run time of a type against the running count: a line by least squares over its last runs, or,
 // while these are few or all of one crowd, in proportion to running per core.
 func (d *Desk) fitted(k *opType, running int) time.Duration {
-	ran := k.recent(d.port.Now())
-	points := make([]point, len(ran))
-	var crowd float64
-	for i, s := range ran {
-		points[i] = point{s.crowd, s.took.Seconds()}
-		crowd += s.crowd / float64(len(ran))
-	}
-	mean, slope, spread := line(points)
-	if len(points) < 8 || spread < 1 { // eight runs and a deviation of one op: less gives no slope
+	f := d.fit(k)
+	if f.runs < 8 || f.spread < 1 { // eight runs and a deviation of one op: less gives no slope
 		return d.timeFor(&op{kind: k}, running)
 	}
-	return time.Duration(max(mean+max(0, slope)*(float64(running)-crowd), 0) * float64(time.Second))
+	return time.Duration(max(f.took+max(0, f.slope)*(float64(running)-f.crowd), 0) * float64(time.Second))
 }
 
 // left is the time in which an op can still earn: to its target latency, or to the answer that is owed where
@@ -597,14 +606,10 @@
 // protected is the paper's g, from the rank: the band of the highest importance, as ranks give each
 // importance an equal band; with one importance only the top fifth.
 func (d *Desk) protected(o *op) bool {
-	bands := map[float64]bool{}
-	for _, k := range d.types {
-		bands[k.importance] = true
-	}
-	if len(bands) < 2 {
+	if d.bands < 2 {
 		return o.Rank >= 0.8
 	}
-	return o.Rank >= 1-1/float64(len(bands))
+	return o.Rank >= 1-1/float64(d.bands)
 }
 
 // key is one held op with its place in the order, worked out once.
@@ -617,7 +622,7 @@
 
 // order sorts the hold by (1-g, 1-urgent, r).
 func (d *Desk) order(now time.Duration) []key {
-	keys := make([]key, 0, len(d.hold))
+	keys := d.keys[:0] // one list, used again: it is done with when the batch is settled
 	for _, o := range d.hold {
 		k := key{o: o, level: 1, calm: 1, r: d.work(o), s: d.slack(o, now)}
 		k.t = time.Duration(float64(k.r) * d.perCore(float64(len(d.running))))
@@ -635,6 +640,7 @@
 	slices.SortStableFunc(keys, func(a, b key) int {
 		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.calm, b.calm), cmp.Compare(a.r, b.r))
 	})
+	d.keys = keys
 	return keys
 }
 
@@ -787,6 +793,9 @@
 
 // shelter nacks what should not be started here in the present state.
 func (d *Desk) shelter(now time.Duration) {
+	if d.state == "well" {
+		return
+	}
 	for _, o := range slices.Clone(d.hold) {
 		switch d.state {
 		case "leaving":
@@ -951,7 +960,7 @@
 
 // dueAt is when an answer is sent at the latest: two ticks before it is owed, and before the kill.
 func (d *Desk) dueAt(o *op) time.Duration {
-	at := o.due - 2*d.facts.span("tick")
+	at := o.due - 2*d.tick
 	if d.leaving {
 		at = min(at, d.killAt-leaveMargin)
 	}
@@ -1005,7 +1014,7 @@
 		next = now + d.beat()
 	}
 	for _, o := range d.owed() {
-		next = min(next, max(d.dueAt(o), now+d.facts.span("tick")))
+		next = min(next, max(d.dueAt(o), now+d.tick))
 	}
 	if next == 0 || d.wakeAt > now && d.wakeAt <= next {
 		return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -122,6 +122,7 @@
 	}
 	fmt.Println("line", s.desk.fitted(low, 2).Round(ms), s.desk.fitted(low, 6).Round(ms))
 	low.ran = low.ran[:1]
+	low.acked++ // runs come by ended alone, which counts them
 	fmt.Println("proportion", s.desk.fitted(low, 2).Round(ms), s.desk.fitted(low, 4).Round(ms))
 	// Output:
 	// line 200ms 400ms
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,9 +23,13 @@
 	drawn  uint64 // the counter behind chance
 	began  time.Duration
 	cores  int
+	tick   time.Duration
+	bands  int // importances that differ
 	types  map[OpType]*opType
 	tenant map[TenantID]*tenant
 
+	all     []*op           // as owed last gave them
+	keys    []key           // as order last gave them
 	ops     map[OpID]*op    // all that is owed an answer or still on the cores
 	hold    []*op           // read and unstarted, by arrival
 	running []*op           // started and not at a call
@@ -84,6 +88,22 @@
 	repeats    string
 	window     time.Duration
 	ran        []sample // the last runs
+	acked      int      // runs ever seen that went well
+	fit        fit
+}
+
+// fit is a type's last runs in figures, as of a moment.
+type fit struct {
+	known      bool
+	at         time.Duration
+	acked      int
+	runs       int
+	sum        time.Duration // of their times over running per core
+	hint, bend float64       // their mean hint in seconds, and how far a run follows its hint
+	crowd      float64       // their mean crowd; took, slope and spread are the line through times and crowds
+	took       float64
+	slope      float64
+	spread     float64
 }
 
 type tenant struct {
@@ -231,10 +251,17 @@
 	}
 }
 
-// owed are the ops that wait for an answer, in a fixed order.
+// owed are the ops that wait for an answer, in a fixed order; they stay valid until it is called again.
 func (d *Desk) owed() []*op {
-	all := slices.Concat(d.hold, d.sharing, d.running, d.calling)
-	return slices.DeleteFunc(all, func(o *op) bool { return o.answered })
+	d.all = d.all[:0]
+	for _, list := range [...][]*op{d.hold, d.sharing, d.running, d.calling} {
+		for _, o := range list {
+			if !o.answered {
+				d.all = append(d.all, o)
+			}
+		}
+	}
+	return d.all
 }
 
 // spread is over how many callers the last arrivals were spread; a caller with most of them counts most.
