--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -7,39 +7,34 @@
 	"math/big"
 	"testing"
 	"time"
-)
 
-func must[T any](x T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return x
-}
+	"lanewheel/internal/scenes"
+)
 
 var (
 	start     = time.Unix(1_800_000_000, 0)
-	authority = must(NewAuthority("water", start, 1000*time.Hour))
-	other     = must(NewAuthority("roads", start, 1000*time.Hour))
+	authority = scenes.Must(NewAuthority("water", start, 1000*time.Hour))
+	other     = scenes.Must(NewAuthority("roads", start, 1000*time.Hour))
 )
 
 func text(pairs ...Pair) (all []byte) {
 	for _, p := range pairs {
 		cert, _, err := p.Texts()
-		all = append(all, must(cert, err)...)
+		all = append(all, scenes.Must(cert, err)...)
 	}
 	return all
 }
 
 func device(a Pair, uri string) Pair {
-	return must(a.Issue(Subject{Name: "handheld", URIs: []string{uri}, Hosts: []string{"h.example", "10.0.0.1"}}, false, start, 10*time.Hour))
+	return scenes.Must(a.Issue(Subject{Name: "handheld", URIs: []string{uri}, Hosts: []string{"h.example", "10.0.0.1"}}, false, start, 10*time.Hour))
 }
 
 // What a chain proves, and each way in which it proves nothing.
 func Example() {
 	good, taken, foreign := device(authority, "rota://water/7"), device(authority, "rota://water/8"), device(other, "rota://water/7")
-	server := must(authority.Issue(Subject{Name: "node"}, true, start, time.Hour))
-	list := must(authority.Revoke(nil, []*big.Int{taken.Cert.SerialNumber}, start, 2*time.Hour))
-	t := must(NewTrust(text(authority), list, time.Hour, false, start))
+	server := scenes.Must(authority.Issue(Subject{Name: "node"}, true, start, time.Hour))
+	list := scenes.Must(authority.Revoke(nil, []*big.Int{taken.Cert.SerialNumber}, start, 2*time.Hour))
+	t := scenes.Must(NewTrust(text(authority), list, time.Hour, false, start))
 	show := func(name string, at time.Duration, chain ...Pair) {
 		var certs []*x509.Certificate
 		for _, p := range chain {
@@ -60,7 +55,7 @@
 	show("too early", -time.Hour, good)
 	show("over, and the list is old", 11*time.Hour, good)
 	show("with an old list", 3*time.Hour, good)
-	_, err := NewTrust(text(authority), must(other.Revoke(nil, nil, start, time.Hour)), 0, false, start)
+	_, err := NewTrust(text(authority), scenes.Must(other.Revoke(nil, nil, start, time.Hour)), 0, false, start)
 	fmt.Println(err)
 	_, err = NewTrust(text(authority), list, time.Hour, false, start.Add(3*time.Hour))
 	fmt.Println(err)
@@ -83,18 +78,18 @@
 // A proof is looked at again as lists, authorities and time change; while nothing has, that is two comparisons.
 func Example_still() {
 	d := device(authority, "rota://water/7")
-	t := must(NewTrust(text(authority, other), nil, 0, false, start))
+	t := scenes.Must(NewTrust(text(authority, other), nil, 0, false, start))
 	p, _ := t.Prove([]*x509.Certificate{d.Cert}, start)
 	fmt.Printf("%q %v\n", t.Still(p, start), p.In(start.Add(10*time.Hour)))
-	list := must(authority.Revoke(nil, nil, start, time.Hour))
-	t = must(NewTrust(text(authority, other), list, 0, false, start))
+	list := scenes.Must(authority.Revoke(nil, nil, start, time.Hour))
+	t = scenes.Must(NewTrust(text(authority, other), list, 0, false, start))
 	fmt.Printf("%q in time %v, later %v %q\n", t.Still(p, start), p.In(start), p.In(start.Add(time.Hour)), t.Still(p, start.Add(time.Hour)))
-	t = must(NewTrust(text(authority, other), list, 0, true, start))
+	t = scenes.Must(NewTrust(text(authority, other), list, 0, true, start))
 	fmt.Printf("allowed: %q\n", t.Still(p, start.Add(time.Hour)))
-	newer := must(authority.Revoke(list, []*big.Int{d.Cert.SerialNumber}, start, time.Hour))
-	t = must(NewTrust(text(authority, other), append(newer, list...), 0, false, start)) // the older one behind it changes nothing
+	newer := scenes.Must(authority.Revoke(list, []*big.Int{d.Cert.SerialNumber}, start, time.Hour))
+	t = scenes.Must(NewTrust(text(authority, other), append(newer, list...), 0, false, start)) // the older one behind it changes nothing
 	fmt.Printf("%q\n", t.Still(p, start))
-	t = must(NewTrust(text(other), nil, 0, false, start))
+	t = scenes.Must(NewTrust(text(other), nil, 0, false, start))
 	fmt.Printf("%q\n", t.Still(p, start))
 	// Output:
 	// "" false
@@ -107,7 +102,7 @@
 // Files that are cut after any byte are refused, or say the same; a list that is cut never says less.
 func TestCut(t *testing.T) {
 	d := device(authority, "rota://water/7")
-	list := must(authority.Revoke(nil, []*big.Int{d.Cert.SerialNumber}, start, time.Hour))
+	list := scenes.Must(authority.Revoke(nil, []*big.Int{d.Cert.SerialNumber}, start, time.Hour))
 	roots := text(authority, other)
 	for n := range len(list) {
 		if n > 0 && n < len(list)-1 {
@@ -125,7 +120,7 @@
 }
 
 func FuzzTrust(f *testing.F) {
-	block, _ := pem.Decode(must(authority.Revoke(nil, []*big.Int{big.NewInt(7)}, start, time.Hour)))
+	block, _ := pem.Decode(scenes.Must(authority.Revoke(nil, []*big.Int{big.NewInt(7)}, start, time.Hour)))
 	f.Add(text(authority), block.Bytes)
 	f.Fuzz(func(t *testing.T, roots, list []byte) {
 		_, _ = NewTrust(roots, pem.EncodeToMemory(&pem.Block{Type: "X509 CRL", Bytes: list}), 0, false, start)
@@ -134,7 +129,7 @@
 }
 
 func BenchmarkProve(b *testing.B) {
-	t := must(NewTrust(text(authority), must(authority.Revoke(nil, nil, start, 9*time.Hour)), 0, false, start))
+	t := scenes.Must(NewTrust(text(authority), scenes.Must(authority.Revoke(nil, nil, start, 9*time.Hour)), 0, false, start))
 	chain := []*x509.Certificate{device(authority, "rota://water/7").Cert}
 	p, _ := t.Prove(chain, start)
 	b.Run("anew", func(b *testing.B) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,14 +9,9 @@
 	"pgregory.net/rapid"
 
 	"lanewheel/internal/front"
+	_ "lanewheel/internal/scenes"
 )
 
-// Property tests draw the same scenes each time.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
 var calm = front.Load{Up: true, Well: true, Cores: 4, Room: 1000}
 
 // An instance with room takes more as long as what it takes is used; saturated it lets go of all but the floors, and when it
--- a/internal/keyring/keyring_test.go
+++ b/internal/keyring/keyring_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,26 +12,14 @@
 	"pgregory.net/rapid"
 
 	"lanewheel/internal/rights"
+	"lanewheel/internal/scenes"
 )
 
-// Property tests draw the same scenes each time.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
-func must[T any](x T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return x
-}
-
 var start = time.Unix(1_800_000_000, 0)
 
 // published makes a key's file; from and until are seconds after start, 0 for none.
 func published(id, algorithm string, from, until int, withdrawn bool) []byte {
-	k := must(New(algorithm))
+	k := scenes.Must(New(algorithm))
 	k.KeyID = id
 	at := func(s int) time.Time {
 		if s == 0 {
@@ -40,13 +27,13 @@
 		}
 		return start.Add(time.Duration(s) * time.Second)
 	}
-	return must(Publish(*k, at(from), at(until), withdrawn))
+	return scenes.Must(Publish(*k, at(from), at(until), withdrawn))
 }
 
 // A key counts from its not-before until its retire-at, to the moment; what was taken back, what is gone and what nobody
 // knows are told apart.
 func Example_times() {
-	set := must(Read(map[string][]byte{"a.json": published("a", "EdDSA", 10, 20, false), "b.json": published("b", "ES256", 0, 0, false),
+	set := scenes.Must(Read(map[string][]byte{"a.json": published("a", "EdDSA", 10, 20, false), "b.json": published("b", "ES256", 0, 0, false),
 		"c.json": published("c", "RS256", 0, 0, true)}))
 	r := NewRing(set, time.Second)
 	for _, s := range []int{9, 10, 19, 20} {
@@ -58,7 +45,7 @@
 		fmt.Printf("%s %q ", id, why)
 	}
 	fmt.Println(r.Replace(set), r.Generation())
-	fmt.Println(r.Replace(must(Read(map[string][]byte{"c.json": published("d", "EdDSA", 0, 0, false)}))), r.Generation())
+	fmt.Println(r.Replace(scenes.Must(Read(map[string][]byte{"c.json": published("d", "EdDSA", 0, 0, false)}))), r.Generation())
 	_, gone := r.Find("b", start)
 	fmt.Println(gone)
 	// Output:
@@ -70,7 +57,7 @@
 // What is wrong with a folder is told by file, line and name; with one thing wrong nothing of it counts.
 func Example_faults() {
 	good := string(published("a", "EdDSA", 0, 0, false))
-	private := string(must(must(New("EdDSA")).MarshalJSON()))
+	private := string(scenes.Must(scenes.Must(New("EdDSA")).MarshalJSON()))
 	for _, text := range []string{`{"keys":[`, `{}`, `{"keys":[{"kty":"oct","kid":"s","k":"c2VjcmV0"}]}`, `{"keys":[` + private + `]}`,
 		strings.Replace(good, `"kid"`, `"nbf": 1800000000000, "kid"`, 1), strings.Replace(good, `"alg": "EdDSA"`, `"alg": "RS256"`, 1),
 		strings.Replace(good, `"kid"`, `"kid": "z", "kid"`, 1), strings.Replace(good, `"a"`, `""`, 1),
@@ -95,7 +82,7 @@
 
 // Ever so many unknown ids lead to one look a second; a key that is published after a look is found by the next.
 func Example_looks() {
-	r := NewRing(must(Read(nil)), time.Second)
+	r := NewRing(scenes.Must(Read(nil)), time.Second)
 	say := func(now time.Duration, id KeyID) {
 		step, after := r.Seek(now, id)
 		fmt.Print(now, " ", id, [...]string{" deny", " look", " await", " later "}[step], after, "; ")
@@ -106,7 +93,7 @@
 	say(0, "x")
 	say(300*time.Millisecond, "y")
 	say(time.Second, "y")
-	r.Replace(must(Read(map[string][]byte{"y.json": published("y", "EdDSA", 0, 0, false)})))
+	r.Replace(scenes.Must(Read(map[string][]byte{"y.json": published("y", "EdDSA", 0, 0, false)})))
 	r.Looked([]KeyID{"y"})
 	_, why := r.Find("y", start)
 	fmt.Printf("%q\n", why)
@@ -136,12 +123,12 @@
 
 // Files are replaced whole, private keys are for their owner, and what is being written is no part of the folder.
 func Example_write() {
-	dir := must(os.MkdirTemp("", "keys"))
+	dir := scenes.Must(os.MkdirTemp("", "keys"))
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "a.json")
 	fmt.Println(Write(path, published("a", "EdDSA", 0, 0, false), 0o600))
 	_ = os.WriteFile(filepath.Join(dir, ".b.json.new"), []byte("{"), 0o600)
-	fmt.Println(must(os.Stat(path)).Mode(), len(must(Load(dir)).Keys()))
+	fmt.Println(scenes.Must(os.Stat(path)).Mode(), len(scenes.Must(Load(dir)).Keys()))
 	_ = os.WriteFile(filepath.Join(dir, "b.json"), bytes.Repeat([]byte{' '}, mostBytes+1), 0o600)
 	_, err := Load(dir)
 	fmt.Println(strings.ReplaceAll(err.Error(), dir, "DIR"))
@@ -163,7 +150,7 @@
 		return pool[name]
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		r := NewRing(must(Read(nil)), time.Second)
+		r := NewRing(scenes.Must(Read(nil)), time.Second)
 		ever, table := map[string]bool{}, map[string]key{}
 		for range rapid.IntRange(1, 6).Draw(t, "reloads") {
 			files := map[string][]byte{}
@@ -175,7 +162,7 @@
 					ever[id] = true
 				}
 			}
-			r.Replace(must(Read(files)))
+			r.Replace(scenes.Must(Read(files)))
 			at := rapid.IntRange(0, 7).Draw(t, "at")
 			for _, id := range []string{"a", "b", "c", "d"} {
 				want := rights.Reason("")
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -7,15 +7,9 @@
 	"testing"
 
 	"lanewheel/internal/fault"
+	"lanewheel/internal/scenes"
 )
 
-func must[T any](x T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return x
-}
-
 const good = `[callers]
 writes = set
 [role crew]
@@ -39,11 +33,11 @@
 
 // Defaults stand where nothing is said, and paths count from the file's folder; without a file everything is off.
 func Example() {
-	f := must(Parse("etc/op.ini", []byte(good)))
+	f := scenes.Must(Parse("etc/op.ini", []byte(good)))
 	r := f.Callers.Roles[0]
 	fmt.Println(f.Callers.On, r.Rate, r.Burst, r.Open, f.Callers.Map[0].Match, f.Callers.Book != nil)
 	fmt.Println(f.Tokens.Keys, f.Tokens.Policy.Leeway, f.Tokens.Bounds.Remembered, f.TLS.Certificate, f.TLS.Oldest, f.TLS.Required, f.TLS.AllowOld)
-	f = must(Load(""))
+	f = scenes.Must(Load(""))
 	fmt.Println(f.Callers.On, f.Tokens.On, f.TLS.On, f.Log.Format)
 	// Output:
 	// true 5 5 0 [uri:rota://water/*] true
@@ -80,7 +74,7 @@
 
 // The example that operators start from names every name there is.
 func TestExample(t *testing.T) {
-	text := must(os.ReadFile("../../deploy/edge.ini"))
+	text := scenes.Must(os.ReadFile("../../deploy/edge.ini"))
 	if _, err := Parse("edge.ini", text); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rights/rights_test.go
+++ b/internal/rights/rights_test.go
@@ -1,7 +1,6 @@
 package rights
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"slices"
@@ -12,22 +11,10 @@
 	"pgregory.net/rapid"
 
 	"lanewheel/choice"
+	"lanewheel/internal/scenes"
 )
 
-// Property tests draw the same scenes each time.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
-func must[T any](x T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return x
-}
-
-var book = must(NewBook([]Role{
+var book = scenes.Must(NewBook([]Role{
 	{Name: "crew", Types: []choice.OpType{"view", "set"}, Reads: true, Writes: true, Rate: 10, Burst: 2, Open: 3},
 	{Name: "viewer", Types: []choice.OpType{"view"}, Reads: true},
 	{Name: "desk", Types: []choice.OpType{Every}, Tenants: []choice.TenantID{Every}, Reads: true, Writes: true},
@@ -172,7 +159,7 @@
 				Roles:  []RoleName{roles[rapid.IntRange(0, len(roles)-1).Draw(t, "role")].Name}})
 		}
 		writes := rapid.SliceOfN(rapid.SampledFrom(kinds[:2]), 0, 1).Draw(t, "writes")
-		b := must(NewBook(roles, callers, writes, nil))
+		b := scenes.Must(NewBook(roles, callers, writes, nil))
 		name := rapid.SampledFrom([]string{"uri:a", "uri:ab", "uri:abc", "uri:c", "dns:a", "dns:b", "token:q"}).Draw(t, "name")
 		ask := Ask{rapid.SampledFrom(kinds[:2]).Draw(t, "kind"), rapid.SampledFrom(tenants[:3]).Draw(t, "asks"), rapid.Bool().Draw(t, "write")}
 
--- a/internal/tokens/tokens_test.go
+++ b/internal/tokens/tokens_test.go
@@ -5,7 +5,6 @@
 	"crypto/x509"
 	"encoding/base64"
 	"encoding/pem"
-	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -17,21 +16,9 @@
 
 	"lanewheel/internal/keyring"
 	"lanewheel/internal/rights"
+	"lanewheel/internal/scenes"
 )
 
-// Property tests draw the same scenes each time.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
-func must[T any](x T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return x
-}
-
 var (
 	start  = time.Unix(1_800_000_000, 0)
 	policy = &Policy{Issuer: "us", Audience: "rota", Leeway: 30 * time.Second, Longest: 2048, Tenant: "tenant", Roles: "roles"}
@@ -40,7 +27,7 @@
 
 func pair(id, algorithm string) *jose.JSONWebKey {
 	if pairs[id] == nil {
-		pairs[id] = must(keyring.New(algorithm))
+		pairs[id] = scenes.Must(keyring.New(algorithm))
 		pairs[id].KeyID = id
 	}
 	return pairs[id]
@@ -51,9 +38,9 @@
 	files := map[string][]byte{}
 	for _, id := range ids {
 		name, back := strings.CutSuffix(id, "!")
-		files[name+".json"] = must(keyring.Publish(*pair(name, "EdDSA"), start.Add(-time.Hour), start.Add(time.Hour), back))
+		files[name+".json"] = scenes.Must(keyring.Publish(*pair(name, "EdDSA"), start.Add(-time.Hour), start.Add(time.Hour), back))
 	}
-	return must(keyring.Read(files))
+	return scenes.Must(keyring.Read(files))
 }
 
 func finds(s *keyring.Set, wall time.Time) func(keyring.KeyID) (*keyring.Key, rights.Reason) {
@@ -73,8 +60,8 @@
 
 func signed(k *jose.JSONWebKey, c jwt.Claims, header map[jose.HeaderKey]any) string {
 	o := &jose.SignerOptions{ExtraHeaders: header}
-	s := must(jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Algorithm), Key: k}, o))
-	return must(jwt.Signed(s).Claims(c).Claims(map[string]any{"tenant": "water", "roles": []string{"crew"}}).Serialize())
+	s := scenes.Must(jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Algorithm), Key: k}, o))
+	return scenes.Must(jwt.Signed(s).Claims(c).Claims(map[string]any{"tenant": "water", "roles": []string{"crew"}}).Serialize())
 }
 
 // Each way in which a token proves nothing; the algorithm is the key's, whatever the token says.
@@ -82,13 +69,13 @@
 	ed, es, rs := pair("ed", "EdDSA"), pair("es", "ES256"), pair("rs", "RS256")
 	files := map[string][]byte{}
 	for _, k := range []*jose.JSONWebKey{ed, es, rs} {
-		files[k.KeyID] = must(keyring.Publish(*k, start, time.Time{}, false))
+		files[k.KeyID] = scenes.Must(keyring.Publish(*k, start, time.Time{}, false))
 	}
-	keys := must(keyring.Read(files))
+	keys := scenes.Must(keyring.Read(files))
 	// The public half of an RSA key as the secret of an HMAC; an Ed25519 signature under the id of another kind of key.
-	der := must(x509.MarshalPKIXPublicKey(rs.Public().Key.(*rsa.PublicKey)))
+	der := scenes.Must(x509.MarshalPKIXPublicKey(rs.Public().Key.(*rsa.PublicKey)))
 	secret := pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: der})
-	hmac := must(jose.NewSigner(jose.SigningKey{Algorithm: jose.HS256, Key: jose.JSONWebKey{Key: secret, KeyID: "rs"}}, nil))
+	hmac := scenes.Must(jose.NewSigner(jose.SigningKey{Algorithm: jose.HS256, Key: jose.JSONWebKey{Key: secret, KeyID: "rs"}}, nil))
 	posing := *ed
 	posing.KeyID = "rs"
 	good := signed(ed, claims(nil), nil)
@@ -102,7 +89,7 @@
 	show("ES256", signed(es, claims(nil), nil))
 	show("RS256", signed(rs, claims(nil), nil))
 	show("none", b64(`{"alg":"none","kid":"ed"}`)+"."+parts[1]+".")
-	show("hmac", must(jwt.Signed(hmac).Claims(claims(nil)).Serialize()))
+	show("hmac", scenes.Must(jwt.Signed(hmac).Claims(claims(nil)).Serialize()))
 	show("posing", signed(&posing, claims(nil), nil))
 	show("crit", signed(ed, claims(nil), map[jose.HeaderKey]any{"crit": []string{"b64"}, "b64": true}))
 	show("forged", parts[0]+"."+parts[1]+"."+b64(strings.Repeat("x", 64)))
@@ -464,7 +451,7 @@
 func BenchmarkVerify(b *testing.B) {
 	for _, algorithm := range []string{"EdDSA", "ES256", "RS256"} {
 		k := pair("bench-"+algorithm, algorithm)
-		find := finds(must(keyring.Read(map[string][]byte{"k": must(keyring.Publish(*k, time.Time{}, time.Time{}, false))})), start)
+		find := finds(scenes.Must(keyring.Read(map[string][]byte{"k": scenes.Must(keyring.Publish(*k, time.Time{}, time.Time{}, false))})), start)
 		raw := signed(k, claims(nil), nil)
 		b.Run(algorithm, func(b *testing.B) {
 			for range b.N {
