--- a/internal/command/try.go
+++ b/internal/command/try.go
@@ -244,7 +244,7 @@
 		}
 		time.Sleep(time.Until(began.Add(at)))
 		kind := triedTypes[chance.IntN(len(triedTypes))]
-		more := []string{"from", fmt.Sprint(k), "kb", "1", "rank", fmt.Sprintf("%.3f", chance.Float64()),
+		more := []string{"from", fmt.Sprint(k), "kb", "1", "rank", fmt.Sprintf("%.3f", 0.999*chance.Float64()), // under 1, rounded too
 			"cost", fmt.Sprint(c.Mean.Milliseconds())}
 		if token != "" {
 			more = append(more, "token", token)
