A test of the bound on handshakes at a time

Cause: with that bound taken out no test failed: stalled handshakes end by their time, and a full table makes room. Change: a test counts the sockets an instance holds while 25 connections stop in the handshake, four told.

--- a/cmd/lanewheel/callers_test.go
+++ b/cmd/lanewheel/callers_test.go
@@ -424,6 +424,30 @@
 	// done
 }
 
+// However many connections stop in the handshake, no more than told hold a descriptor and memory; the others wait outside.
+func Example_handshakesAtATime() {
+	h := openHouse("clients = asked", "clients = asked\nhandshakes = 4\nhandshake-rate = 10000")
+	defer h.close()
+	held := func() (n int) {
+		for _, fd := range standin.Must(os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.cmd.Process.Pid))) {
+			if to, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", h.cmd.Process.Pid, fd.Name())); strings.HasPrefix(to, "socket:") {
+				n++
+			}
+		}
+		return n
+	}
+	before, most := held(), 0
+	for range 25 {
+		defer standin.Must(net.Dial("tcp", h.addr)).Close()
+	}
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		most = max(most, held()-before)
+	}
+	fmt.Println(most >= 4, most < 12) // some are closed while others are accepted
+	// Output:
+	// true true
+}
+
 // Ops whose callers leave while a token is being checked, by interrupt and by closing: neither runs, and the ids are free again.
 func Example_goneAtTheDoor() {
 	h := openHouse()
