--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -57,7 +57,7 @@
 func build() {
 	folder = standin.Must(os.MkdirTemp("", "lanewheel"))
 	binary_ = filepath.Join(folder, "lanewheel")
-	how := []string{"build", "-o", binary_}
+	how := append(append([]string{"build"}, deployed("build", "go build ", " -o ")...), "-o", binary_)
 	info, _ := debug.ReadBuildInfo()
 	for _, set := range info.Settings {
 		if set.Key == "-race" && set.Value == "true" {
@@ -69,6 +69,18 @@
 	}
 }
 
+// deployed gives the words that stand between two others in a line of the deploy file, so that the tests run what is deployed.
+func deployed(line, after, before string) []string {
+	for _, text := range strings.Split(string(standin.Must(os.ReadFile("../../deploy/balancer.toml"))), "\n") {
+		if rest, is := strings.CutPrefix(text, line+" = "); is {
+			_, rest, _ = strings.Cut(strings.Trim(rest, `"`), after)
+			rest, _, _ = strings.Cut(rest, before)
+			return strings.Fields(rest)
+		}
+	}
+	panic("no line " + line)
+}
+
 // open starts a town whose runtime is not up yet; changes are pairs of text to replace in the configuration.
 func open(changes ...string) *town {
 	t := &town{log: &lines{}, exit: make(chan struct{}), rt: standin.NewRuntime(), db: standin.NewDatabase()}
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Format, vet, build and tests; needs Go and the module proxy, nothing else.
+# Format, vet, build and tests; needs Go, a C compiler and the module proxy, nothing else.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -8,6 +8,5 @@
 	exit 1
 fi
 go vet ./...
-mkdir -p bin
-go build -o bin/ ./cmd/...
+bash build.sh
 go test -count=1 -timeout 3m ./...
