--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -23,6 +23,9 @@
 	Token tokenCommand `cmd:"" help:"Issue and show tokens."`
 	Queue queueCommand `cmd:"" help:"Check, feed and watch the queues that an operator's file tells of."`
 	Cert  certCommand  `cmd:"" help:"Make an authority, issue certificates and take them back."`
+
+	Members membersCommand `cmd:"" help:"Show how a running process sees its fleet, and how far views differ."`
+	Drill   drillCommand   `cmd:"" help:"Start many processes, break what lies between them by a script, and judge."`
 }
 
 // output is what a sub-command prints to.
@@ -78,7 +81,11 @@
 }
 
 func serve(operated, format string) int {
-	if err := life.Live(os.Getenv("RELAY_CONFIG"), operated, format); err != nil {
+	err := life.Live(os.Getenv("RELAY_CONFIG"), operated, format)
+	if errors.Is(err, life.ErrFleet) {
+		err = over()
+	}
+	if err != nil {
 		var all fault.List
 		if errors.As(err, &all) && len(all) > 1 {
 			slog.Error("cannot-start", "err", all[0], "more", len(all)-1)
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,139 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"lanewheel/internal/life"
+	"lanewheel/internal/operator"
+)
+
+// Parts is what only a program brings that has the fleet's parts linked.
+type Parts struct {
+	Joins   life.Joins
+	Members func(f operator.Fleet, against []string, asJSON bool, out io.Writer) error
+	Drill   func(d *operator.Drill, record, picture string, out io.Writer) (bad int, err error)
+	Show    func(record, picture string, out io.Writer) error
+	Differ  func(a, b string, out io.Writer) error
+}
+
+var linked *Parts
+
+// Link says what is linked, before Main.
+func Link(p Parts) {
+	linked = &p
+	life.Fleet = p.Joins
+}
+
+// sibling is the program that has all of it, beside ours.
+const sibling = "lanewheel-fleet"
+
+// over hands this process over to the sibling, with the same arguments: its number, files and signals stay as they are.
+func over() error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(self), sibling)
+	err = syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ())
+	return fmt.Errorf("this needs %s, which is built with lanewheel and stands beside it: %w", sibling, err)
+}
+
+// membersCommand shows how a running process sees its fleet.
+type membersCommand struct {
+	JSON    bool     `name:"json" help:"Print the whole view as JSON."`
+	Against []string `help:"Operator's files of further processes on this machine: say how far their views differ." placeholder:"FILE" type:"path"`
+	File    string   `arg:"" help:"The process's operator's file; its section [fleet] has to name a watch." type:"path"`
+}
+
+func (c *membersCommand) Run(o output) error {
+	if linked == nil {
+		return over()
+	}
+	var sockets []string
+	var first operator.Fleet
+	for i, path := range append([]string{c.File}, c.Against...) {
+		f, err := operator.Load(path)
+		if err != nil {
+			return err
+		}
+		if !f.Fleet.On || f.Fleet.Watch == "" {
+			return fmt.Errorf("%s: fleet.watch names no socket", path)
+		}
+		if i == 0 {
+			first = f.Fleet
+		} else {
+			sockets = append(sockets, f.Fleet.Watch)
+		}
+	}
+	return linked.Members(first, sockets, c.JSON, o.out)
+}
+
+// drillCommand rehearses failures.
+type drillCommand struct {
+	Run_ drillRun    `cmd:"" name:"run" default:"withargs" help:"Carry a script out."`
+	Show drillShow   `cmd:"" help:"Print the table of a record."`
+	Diff drillDiffer `cmd:"" help:"Print the figures of two records side by side."`
+}
+
+type drillRun struct {
+	Check   bool   `help:"Only read the script, and print what would be done when."`
+	Seed    *int   `help:"In place of the script's."`
+	Size    int    `help:"Processes, in place of the script's." default:"0"`
+	Record  string `help:"Write the raw record as Parquet." placeholder:"FILE" type:"path"`
+	Picture string `help:"Draw it as SVG." placeholder:"FILE" type:"path"`
+	Script  string `arg:"" help:"The script, an INI: docs/operating/drills.md names all that may stand in it." type:"path"`
+}
+
+func (c *drillRun) Run(o output) error {
+	if linked == nil {
+		return over()
+	}
+	d, err := operator.LoadDrill(c.Script)
+	if err != nil {
+		return err
+	}
+	if c.Seed != nil {
+		d.Seed = uint64(*c.Seed)
+	}
+	if c.Size > 0 {
+		d.Processes = c.Size
+	}
+	record, picture := c.Record, c.Picture
+	if c.Check {
+		record, picture = "check", ""
+	}
+	bad, err := linked.Drill(&d, record, picture, o.out)
+	if err == nil && bad > 0 {
+		return errors.Join(errSaid)
+	}
+	return err
+}
+
+type drillShow struct {
+	Picture string `help:"Draw it as SVG." placeholder:"FILE" type:"path"`
+	Record  string `arg:"" type:"path"`
+}
+
+func (c *drillShow) Run(o output) error {
+	if linked == nil {
+		return over()
+	}
+	return linked.Show(c.Record, c.Picture, o.out)
+}
+
+type drillDiffer struct {
+	First  string `arg:"" type:"path"`
+	Second string `arg:"" type:"path"`
+}
+
+func (c *drillDiffer) Run(o output) error {
+	if linked == nil {
+		return over()
+	}
+	return linked.Differ(c.First, c.Second, o.out)
+}
--- /dev/null
+++ b/internal/command/further/further.go
@@ -0,0 +1,193 @@
+// Package further is the commands of the program that has the fleet's parts linked.
+package further
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"lanewheel/internal/command"
+	"lanewheel/internal/drill"
+	"lanewheel/internal/fleet/gossip"
+	"lanewheel/internal/keep"
+	"lanewheel/internal/life"
+	"lanewheel/internal/members"
+	"lanewheel/internal/operator"
+)
+
+// Parts is all that lanewheel-fleet has beside lanewheel.
+func Parts() command.Parts {
+	return command.Parts{Joins: join, Members: show, Drill: rehearse, Show: shown, Differ: differ}
+}
+
+// told puts together what the part goes by.
+func told(f *operator.Fleet, name string, keys []members.Key) gossip.Told {
+	if f.Name != "" {
+		name = f.Name
+	}
+	return gossip.Told{Name: members.Name(name), Cluster: f.Cluster, Listen: f.Listen, Advertise: f.Advertise, Roles: f.Roles, Zone: f.Zone, Release: f.Release,
+		Capacity: f.Capacity, Warm: f.Warm, Keys: keys, Probe: f.Probe, Rate: f.Rate, Watch: f.Watch, Leaves: f.Leaves, Members: f.Told}
+}
+
+// join brings an instance into its fleet.
+func join(in *keep.Instance, config keep.Told, o *life.Operated) (func(*life.Operated), error) {
+	part, err := gossip.New(told(&o.File.Fleet, config.Name, o.ClusterKeys), &instance{in}, config.Seed)
+	if err != nil {
+		return nil, err
+	}
+	in.Attach(part)
+	slog.Info("fleet", "name", string(part.View().Self.Name), "listen", o.File.Fleet.Listen, "seeds", len(o.File.Fleet.Told.Seeds), "keys", len(o.ClusterKeys))
+	return func(o *life.Operated) { part.Put(told(&o.File.Fleet, config.Name, o.ClusterKeys)) }, nil
+}
+
+// instance speaks for an instance: what it says of itself comes from its core's loop.
+type instance struct{ in *keep.Instance }
+
+func (i *instance) Report(then func(gossip.Report)) {
+	i.in.Hand(func() {
+		l := i.in.Load()
+		health := 0.0
+		if l.Well {
+			health = 1
+		}
+		then(gossip.Report{Ready: l.Up, Leaving: l.Leaving, Facts: []members.Fact{{Key: "health", Value: health}, {Key: "signal", Value: l.Signal},
+			{Key: "held", Value: float64(l.Held)}, {Key: "running", Value: float64(l.Running)}, {Key: "cores", Value: l.Cores}}})
+	})
+}
+
+func (i *instance) Fenced() { i.in.Hand(i.in.Leave) }
+
+// show prints how a process sees its fleet, and how far others' views are from its.
+func show(f operator.Fleet, against []string, asJSON bool, out io.Writer) error {
+	s, err := gossip.Watch(f.Watch, gossip.Whole)
+	if err != nil {
+		return fmt.Errorf("nobody answers at %s: %w", f.Watch, err)
+	}
+	if asJSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(s)
+	}
+	fmt.Fprintf(out, "%s, incarnation %d, %s, reach %.2f, view %d\n", s.Name, s.Incarnation, s.Standing, s.Reach, s.Version)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "member\tincarnation\tstate\twhy\tfor\tspoke\troles\tzone\trelease\tcores\tfacts")
+	for _, m := range s.Members {
+		var facts []string
+		for _, key := range slices.Sorted(maps.Keys(m.Facts)) {
+			facts = append(facts, fmt.Sprintf("%s=%.3g", key, m.Facts[key]))
+		}
+		if len(m.Stale) > 0 {
+			facts = append(facts, "too old: "+strings.Join(m.Stale, " "))
+		}
+		ago := func(ms int64) time.Duration {
+			return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%v\t%v\t%s\t%s\t%s\t%g\t%s\n", m.Name, m.Incarnation, m.State, m.Why, ago(m.ForMS), ago(m.SpokeMS), m.Roles, m.Zone, m.Release,
+			m.Capacity, strings.Join(facts, " "))
+	}
+	w.Flush()
+	for _, name := range slices.Sorted(maps.Keys(s.Counts)) {
+		fmt.Fprintf(out, "%s %d\n", name, s.Counts[name])
+	}
+	for _, socket := range against {
+		other, err := gossip.Watch(socket, gossip.Whole)
+		if err != nil {
+			fmt.Fprintf(out, "nobody answers at %s: %v\n", socket, err)
+			continue
+		}
+		compare(s, other, out)
+	}
+	return nil
+}
+
+// compare prints on whom two views differ. Each holds itself to be here, which no view says.
+func compare(a, b gossip.Snapshot, out io.Writer) {
+	of := func(s gossip.Snapshot) map[string]string {
+		all := map[string]string{s.Name: fmt.Sprint("up ", s.Incarnation)}
+		for _, m := range s.Members {
+			all[m.Name] = fmt.Sprint(m.State, " ", m.Incarnation)
+		}
+		return all
+	}
+	x, y := of(a), of(b)
+	n := 0
+	both := maps.Clone(x)
+	maps.Copy(both, y)
+	for _, name := range slices.Sorted(maps.Keys(both)) {
+		if x[name] != y[name] {
+			n++
+			fmt.Fprintf(out, "%s: %s holds %q, %s holds %q\n", name, a.Name, x[name], b.Name, y[name])
+		}
+	}
+	fmt.Fprintf(out, "%s and %s differ on %d of %d\n", a.Name, b.Name, n, len(both))
+}
+
+// rehearse carries a script out; with "check" in place of a record it only says what it would do.
+func rehearse(d *operator.Drill, record, picture string, out io.Writer) (bad int, err error) {
+	if record == "check" {
+		for _, e := range drill.Timeline(d) {
+			fmt.Fprintln(out, e)
+		}
+		return 0, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return 0, err
+	}
+	r, err := drill.Run(d, self, out)
+	if err != nil {
+		return 0, err
+	}
+	if record != "" {
+		if err := r.Save(record); err != nil {
+			return 0, err
+		}
+	}
+	r.Table(out)
+	for _, row := range r {
+		if row.Kind == "violation" {
+			bad++
+		}
+	}
+	if bad == 0 {
+		fmt.Fprintln(out, "all held")
+	} else {
+		fmt.Fprintf(out, "%d did not hold, seed %d\n", bad, d.Seed)
+	}
+	if picture != "" {
+		err = r.Draw(picture)
+	}
+	return bad, err
+}
+
+func shown(record, picture string, out io.Writer) error {
+	r, err := drill.Open(record)
+	if err != nil {
+		return err
+	}
+	r.Table(out)
+	if picture != "" {
+		return r.Draw(picture)
+	}
+	return nil
+}
+
+func differ(a, b string, out io.Writer) error {
+	x, err := drill.Open(a)
+	if err != nil {
+		return err
+	}
+	y, err := drill.Open(b)
+	if err != nil {
+		return err
+	}
+	drill.Differ(out, x, y)
+	return nil
+}
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,133 @@
+package drill
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lanewheel/internal/fault"
+	"lanewheel/internal/operator"
+)
+
+const script = `[drill]
+processes = 12
+zones = a, b, c
+seed = 7
+[fault halves]
+do = swallow
+from = draw 50%
+to = rest
+both = yes
+at = 1s..3s
+for = 2s
+[fault zone]
+do = kill
+on = zone b
+at = 2s
+for = 1s
+[fault few]
+do = restart
+on = draw 3
+at = 4s..6s
+`
+
+func timeline(text string, seed uint64) (lines string) {
+	d, err := operator.ParseDrill("x.ini", []byte(text))
+	if err != nil {
+		panic(err)
+	}
+	d.Seed = seed
+	for _, e := range Timeline(&d) {
+		lines += e.String() + "\n"
+	}
+	return lines
+}
+
+// The same seed draws the same; another one draws other moments and others.
+func Example_timeline() {
+	fmt.Print(timeline(script, 7))
+	fmt.Println(timeline(script, 7) == timeline(script, 7), timeline(script, 7) == timeline(script, 8))
+	// Output:
+	// 1.98s halves: swallow 3 5 6 8 10 11 -> 0 1 2 4 7 9
+	//   2.00s zone: kill on 1 4 7 10
+	//   3.00s zone: over: kill on 1 4 7 10
+	//   3.98s halves: over: swallow 3 5 6 8 10 11 -> 0 1 2 4 7 9
+	//   5.71s few: restart on 0 5 9
+	// true false
+}
+
+// What is wrong with a script is said whole, with its lines.
+func Example_wrong() {
+	_, err := operator.ParseDrill("x.ini", []byte("[drill]\nprocesses = 1\nspeed = 3\n[fault a]\ndo = explode\nat = 3s..1s\n[fault b]\ndo = lose\non = zone q\n"))
+	for _, f := range err.(fault.List) {
+		fmt.Println(f)
+	}
+	// Output:
+	// x.ini:2: drill.processes: is "1", wants a whole number from 2 to 1000
+	// x.ini:3: drill.speed: is no name of this section; wants for, mean, memory-mb, processes, rate, releases, seed, seed-processes, settle, start, stubs, zones
+	// x.ini:5: fault a.do: is "explode", wants one of delay, duplicate, flood, garble, half-close, keys, kill, late-runtime, leave, lose, narrow, pause, refuse, reorder, replace, restart, seeds, stall, swallow, wipe
+	// x.ini:5: fault a.do: wants what is done, as swallow or kill
+	// x.ini:6: fault a.at: is "3s..1s", wants a time, or two with .. between, from when all are up
+	// x.ini:7: fault b.at: wants a time, or two with .. between, from when all are up
+	// x.ini:7: fault b.from: wants both, from and to, as the fault is one of links
+	// x.ini:9: fault b.on: is "zone q", wants all, rest, zone NAME, release NAME, process N, first N, draw N or draw N%
+}
+
+// A history that breaks each rule once is judged so, and one that does not is not.
+func TestFourRules(t *testing.T) {
+	began := time.Now()
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	d := operator.Drill{Processes: 2}
+	w := &world{d: &d, procs: []*proc{{name: "p0"}, {name: "p1", told: []time.Time{at(9000)}}, {name: "p2", stops: [][2]time.Time{{at(0), at(5000)}}}}}
+	good := []*asked{
+		{id: "1", kind: "view", sent: at(0), answered: at(10), outcome: "acked", answers: 1, runs: []run{{0, at(5)}}},
+		{id: "2", kind: "pay", sent: at(0), answered: at(10), outcome: "Busy", answers: 1},
+		{id: "3", kind: "view", proc: 2, sent: at(1000)},
+		{id: "4", kind: "view", proc: 1, sent: at(9400), answered: at(9500), outcome: "acked", answers: 1, runs: []run{{1, at(9450)}}},
+	}
+	bad := []*asked{
+		{id: "a", kind: "view", sent: at(0)},
+		{id: "b", kind: "view", sent: at(0), answered: at(10), outcome: "acked", answers: 2, runs: []run{{0, at(5)}}},
+		{id: "c", kind: "view", sent: at(0), answered: at(4000), outcome: "Failed", answers: 1},
+		{id: "d", kind: "pay", sent: at(0), answered: at(10), outcome: "acked", answers: 1, runs: []run{{0, at(5)}, {2, at(7)}}},
+		{id: "e", kind: "pay", sent: at(0), answered: at(10), outcome: "Busy", answers: 1, runs: []run{{0, at(5)}}},
+		{id: "f", kind: "view", sent: at(0), answered: at(10), outcome: "acked", answers: 1},
+		{id: "g", kind: "view", sent: at(0), answered: at(10), outcome: "broken"},
+		{id: "h", kind: "view", proc: 1, sent: at(9800), answered: at(9900), outcome: "acked", answers: 1, runs: []run{{1, at(9850)}}},
+	}
+	if all := fourRules(w, &history{all: good}, began, at(20000)); len(all) > 0 {
+		t.Fatal(all)
+	}
+	for _, o := range bad {
+		if all := fourRules(w, &history{all: []*asked{o}}, began, at(20000)); len(all) != 1 {
+			t.Fatal(o.id, all)
+		}
+	}
+}
+
+// A record that was saved is the same when it is read, and can be drawn and laid beside another.
+func TestRecord(t *testing.T) {
+	r := Record{{100, "op", "p0", "1", "acked", 5}, {105, "run", "p0", "1", "", 0}, {1500, "done", "", "halves", "swallow", 1.5}, {1600, "differs", "", "", "", 2}, {0, "figure", "", "x", "", 3}}
+	path := filepath.Join(t.TempDir(), "r")
+	if err := r.Save(path); err != nil {
+		t.Fatal(err)
+	}
+	back, err := Open(path)
+	if err != nil || fmt.Sprint(back) != fmt.Sprint(r) {
+		t.Fatal(err, back)
+	}
+	if err := r.Draw(path + ".svg"); err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := os.ReadFile(path + ".svg"); !bytes.Contains(b, []byte("<svg")) {
+		t.Fatal("no picture")
+	}
+	var out bytes.Buffer
+	Differ(&out, r, append(Record{{200, "op", "p0", "2", "Busy", 1}}, r...))
+	if !bytes.Contains(out.Bytes(), []byte("+1")) {
+		t.Fatal(out.String())
+	}
+}
--- /dev/null
+++ b/internal/drill/script.go
@@ -0,0 +1,103 @@
+// Package drill rehearses failures: it starts processes of this very program among stand-ins, does to them and to the links
+// between them what a script says, and judges what becomes of it.
+package drill
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"lanewheel/internal/operator"
+)
+
+// Event is one moment of the timeline: something is done, or undone.
+type Event struct {
+	At       time.Duration
+	Fault    *operator.DrillFault
+	Undo     bool
+	On       []int // processes, by number
+	From, To []int
+	over     bool // it was judged
+}
+
+func (e Event) String() string {
+	what := e.Fault.Do
+	if e.Undo {
+		what = "over: " + what
+	}
+	who := fmt.Sprint("on ", short(e.On))
+	if e.On == nil {
+		who = fmt.Sprint(short(e.From), " -> ", short(e.To))
+	}
+	return fmt.Sprintf("%6.2fs %s: %s %s", e.At.Seconds(), e.Fault.Name, what, who)
+}
+
+// short writes many numbers as how many and the first few.
+func short(all []int) string {
+	if len(all) <= 6 {
+		return strings.Trim(fmt.Sprint(all), "[]")
+	}
+	return fmt.Sprintf("%s ... (%d)", strings.Trim(fmt.Sprint(all[:4]), "[]"), len(all))
+}
+
+// Timeline draws what is done when and to whom: the same seed draws the same.
+func Timeline(d *operator.Drill) []Event {
+	var all []Event
+	for i := range d.Faults {
+		f := &d.Faults[i]
+		// Each has chance of its own, so that a fault more or less in the script leaves the others as they were.
+		chance := rand.New(rand.NewPCG(d.Seed, uint64(i)+1))
+		at := f.First + time.Duration(chance.Float64()*float64(f.Last-f.First))
+		e := Event{At: at, Fault: f}
+		if f.On.Kind != "" {
+			e.On = pick(f.On, d, nil, chance)
+		} else {
+			e.From = pick(f.From, d, nil, chance)
+			e.To = pick(f.To, d, e.From, chance)
+		}
+		all = append(all, e)
+		if f.For > 0 {
+			e.At, e.Undo = at+f.For, true
+			all = append(all, e)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+func pick(g operator.Group, d *operator.Drill, but []int, chance *rand.Rand) (all []int) {
+	everybody := make([]int, d.Processes)
+	for i := range everybody {
+		everybody[i] = i
+	}
+	switch g.Kind {
+	case "all":
+		return everybody
+	case "rest":
+		return slices.DeleteFunc(everybody, func(i int) bool { return slices.Contains(but, i) })
+	case "zone", "release":
+		for i := range everybody {
+			if zone(d, i) == g.Name && g.Kind == "zone" || release(d, i) == g.Name && g.Kind == "release" {
+				all = append(all, i)
+			}
+		}
+	case "process":
+		all = []int{min(g.Count, d.Processes-1)}
+	case "first":
+		all = everybody[:g.Count]
+	case "draw":
+		n := g.Count
+		if g.Share > 0 {
+			n = int(g.Share*float64(d.Processes) + 0.5)
+		}
+		all = chance.Perm(d.Processes)[:n]
+		slices.Sort(all)
+	}
+	return all
+}
+
+func zone(d *operator.Drill, i int) string    { return d.Zones[i%len(d.Zones)] }
+func release(d *operator.Drill, i int) string { return d.Releases[i/len(d.Zones)%len(d.Releases)] }
--- /dev/null
+++ b/internal/fleet/gossip/codec.go
@@ -0,0 +1,177 @@
+package gossip
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+
+	"lanewheel/internal/members"
+)
+
+// What members say to each other, MessagePack behind a head of one byte for the kind and four for the age in milliseconds. The age
+// stands apart, as it is written anew whenever the message goes out; nobody's wall clock is in any message.
+const (
+	kindBulletin byte = 'b'
+	kindFenced   byte = 'f'
+	headSize          = 5
+)
+
+// What a member may say. A bulletin has to go into a packet beside others, and a claim into the 512 bytes that the gossip gives.
+const (
+	longestName = 64
+	longestKey  = 16
+	longestMsg  = 512
+)
+
+var (
+	errKind  = errors.New("no kind that we know")
+	errShort = errors.New("cut short")
+	errSize  = errors.New("too large")
+	errTold  = errors.New("out of range")
+)
+
+var how = func() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{}
+	h.RawToString = true
+	h.MaxInitLen = 64 // Danger: a length of billions in a packet of ten bytes
+	return h
+}()
+
+// claim is a members.Claim on the wire, less what the gossip carries itself.
+type claim struct {
+	Incarnation uint64  `codec:"i"`
+	Roles       uint8   `codec:"r"`
+	Zone        string  `codec:"z"`
+	Release     string  `codec:"e"`
+	Capacity    float64 `codec:"c"`
+	WarmMS      int64   `codec:"w"`
+}
+
+type bulletin struct {
+	Name        string  `codec:"n"`
+	Life        uint64  `codec:"l"`
+	Incarnation uint64  `codec:"i"`
+	Seq         uint64  `codec:"s"`
+	Ready       bool    `codec:"r"`
+	ReadyForMS  int64   `codec:"d"`
+	Leaving     bool    `codec:"g"`
+	Digest      uint64  `codec:"v"`
+	Facts       []fact_ `codec:"t"`
+}
+
+type fact_ struct {
+	Key     string  `codec:"k"`
+	Value   float64 `codec:"v"`
+	HoldsMS int64   `codec:"h"`
+}
+
+// fenced tells a life that a later one has its name.
+type fenced struct {
+	Name        string `codec:"n"`
+	Incarnation uint64 `codec:"i"`
+	Life        uint64 `codec:"l"`
+}
+
+func pack(kind byte, v any) []byte {
+	b := make([]byte, headSize, 128)
+	b[0] = kind
+	var body []byte
+	if err := codec.NewEncoderBytes(&body, how).Encode(v); err != nil {
+		panic(err) // our own types, which every message shows
+	}
+	return append(b, body...)
+}
+
+func unpack(b []byte, v any) error {
+	if len(b) > longestMsg {
+		return errSize
+	}
+	return codec.NewDecoderBytes(b, how).Decode(v)
+}
+
+// aged writes an age into a message's head.
+func aged(b []byte, age time.Duration) []byte {
+	binary.BigEndian.PutUint32(b[1:], uint32(min(max(0, age.Milliseconds()), math.MaxUint32)))
+	return b
+}
+
+// kindOf gives the kind and the age of a message, and what stands behind its head.
+func kindOf(b []byte) (kind byte, age time.Duration, body []byte, err error) {
+	if len(b) < headSize {
+		return 0, 0, nil, errShort
+	}
+	return b[0], time.Duration(binary.BigEndian.Uint32(b[1:])) * time.Millisecond, b[headSize:], nil
+}
+
+func packClaim(c members.Claim) []byte {
+	return pack('c', claim{uint64(c.Incarnation), uint8(c.Roles), c.Zone, c.Release, c.Capacity, c.Warm.Milliseconds()})[headSize:]
+}
+
+// readClaim reads what a member says of itself beside its name and address.
+func readClaim(name, addr string, meta []byte) (c members.Claim, err error) {
+	id, ok := members.ReadID(name)
+	if !ok || len(id.Name) > longestName {
+		return c, errTold
+	}
+	var w claim
+	if err := unpack(meta, &w); err != nil {
+		return c, err
+	}
+	if len(w.Zone) > longestName || len(w.Release) > longestName || !(w.Capacity > 0 && w.Capacity <= 1e6) || w.WarmMS < 0 || w.WarmMS > 3_600_000 {
+		return c, errTold
+	}
+	return members.Claim{Name: id.Name, Life: id.Life, Incarnation: members.Incarnation(w.Incarnation), Addr: addr, Roles: members.Roles(w.Roles),
+		Zone: w.Zone, Release: w.Release, Capacity: w.Capacity, Warm: time.Duration(w.WarmMS) * time.Millisecond}, nil
+}
+
+func packBulletin(b members.Bulletin) []byte {
+	w := bulletin{string(b.Name), uint64(b.Life), uint64(b.Incarnation), b.Seq, b.Ready, b.ReadyFor.Milliseconds(), b.Leaving, b.Digest, nil}
+	for _, f := range b.Facts {
+		w.Facts = append(w.Facts, fact_{f.Key, f.Value, f.Holds.Milliseconds()})
+	}
+	return pack(kindBulletin, w)
+}
+
+func readBulletin(body []byte) (b members.Bulletin, err error) {
+	var w bulletin
+	if err := unpack(body, &w); err != nil {
+		return b, err
+	}
+	if w.Name == "" || len(w.Name) > longestName || w.ReadyForMS < 0 || w.ReadyForMS > math.MaxInt32*1000 {
+		return b, errTold
+	}
+	b = members.Bulletin{ID: members.ID{Name: members.Name(w.Name), Life: members.Life(w.Life)}, Incarnation: members.Incarnation(w.Incarnation),
+		Seq: w.Seq, Ready: w.Ready, ReadyFor: time.Duration(w.ReadyForMS) * time.Millisecond, Leaving: w.Leaving, Digest: w.Digest}
+	for _, f := range w.Facts {
+		if f.Key == "" || len(f.Key) > longestKey || f.HoldsMS < 0 || f.HoldsMS > math.MaxInt32 {
+			return members.Bulletin{}, errTold
+		}
+		b.Facts = append(b.Facts, members.Fact{Key: f.Key, Value: f.Value, Holds: time.Duration(f.HoldsMS) * time.Millisecond})
+	}
+	return b, nil
+}
+
+// packState puts messages behind each other, each with its length before it.
+func packState(all [][]byte) []byte {
+	var b []byte
+	for _, m := range all {
+		b = append(binary.BigEndian.AppendUint16(b, uint16(len(m))), m...)
+	}
+	return b
+}
+
+// readState takes them apart; most is how many are read, the rest is left.
+func readState(b []byte, most int, each func([]byte)) error {
+	for ; len(b) > 0 && most > 0; most-- {
+		if len(b) < 2 || len(b) < 2+int(binary.BigEndian.Uint16(b)) {
+			return errShort
+		}
+		end := 2 + int(binary.BigEndian.Uint16(b))
+		each(b[2:end])
+		b = b[end:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/gossip/codec_test.go
@@ -0,0 +1,98 @@
+package gossip
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lanewheel/internal/members"
+	_ "lanewheel/internal/scenes"
+)
+
+// What is written is read as it was, less what is under a millisecond.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(label string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 3_600_000).Draw(t, label)) * time.Millisecond
+		}
+		b := members.Bulletin{ID: members.ID{Name: members.Name(rapid.StringMatching(`[a-z]{1,64}`).Draw(t, "name")), Life: members.Life(rapid.Uint64().Draw(t, "life"))},
+			Incarnation: members.Incarnation(rapid.Uint64().Draw(t, "incarnation")), Seq: rapid.Uint64().Draw(t, "seq"), Ready: rapid.Bool().Draw(t, "ready"),
+			ReadyFor: ms("ready for"), Leaving: rapid.Bool().Draw(t, "leaving"), Digest: rapid.Uint64().Draw(t, "digest")}
+		for range rapid.IntRange(0, 8).Draw(t, "facts") {
+			b.Facts = append(b.Facts, members.Fact{Key: rapid.StringMatching(`[a-z]{1,16}`).Draw(t, "key"), Value: rapid.Float64().Draw(t, "value"), Holds: ms("holds")})
+		}
+		kind, age, body, err := kindOf(aged(packBulletin(b), 1500*time.Millisecond))
+		if err != nil || kind != kindBulletin || age != 1500*time.Millisecond {
+			t.Fatal(kind, age, err)
+		}
+		if back, err := readBulletin(body); err != nil || !reflect.DeepEqual(back, b) {
+			t.Fatal(err, back, b)
+		}
+		c := members.Claim{Name: b.Name, Life: b.Life, Incarnation: b.Incarnation, Addr: "a:1", Roles: members.Instance | members.Relay, Zone: "z", Release: "r", Capacity: 2.5, Warm: ms("warm")}
+		if back, err := readClaim(c.ID().String(), "a:1", packClaim(c)); err != nil || back != c {
+			t.Fatal(err, back, c)
+		}
+		if n := len(packClaim(c)); n > 512 {
+			t.Fatal("a claim of ", n)
+		}
+	})
+}
+
+// What is cut, too long, out of range or foreign is an error and nothing else.
+func Example_bad() {
+	b := packBulletin(members.Bulletin{ID: members.ID{Name: "n", Life: 1}, Facts: []members.Fact{{Key: "load", Value: 1, Holds: time.Second}}})
+	read := func(b []byte) (err error) {
+		_, _, body, err := kindOf(b)
+		if err == nil {
+			_, err = readBulletin(body)
+		}
+		return err
+	}
+	bad := 0
+	for cut := range len(b) {
+		if read(b[:cut]) != nil {
+			bad++
+		}
+	}
+	fmt.Println(bad == len(b), read(append(b, make([]byte, 600)...)))
+	fmt.Println(read(packBulletin(members.Bulletin{ID: members.ID{Name: "n"}, Facts: []members.Fact{{Key: "a name that is far too long"}}})))
+	for _, name := range []string{"n", "n@1", "@0000000000000001", "n@000000000000000x"} {
+		_, err := readClaim(name, "a:1", packClaim(members.Claim{Capacity: 1}))
+		fmt.Print(err, " ")
+	}
+	_, err := readClaim("n@0000000000000001", "a:1", packClaim(members.Claim{Capacity: -1}))
+	fmt.Println(err)
+	n := 0
+	err = readState(packState([][]byte{{1}, {2, 3}, {4}}), 2, func([]byte) { n++ })
+	fmt.Println(n, err, readState([]byte{0, 9, 1}, 5, func([]byte) {}))
+	// Output:
+	// true too large
+	// out of range
+	// out of range out of range out of range out of range out of range
+	// 2 <nil> cut short
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add(packBulletin(members.Bulletin{ID: members.ID{Name: "n", Life: 1}, Facts: []members.Fact{{Key: "load", Value: 1}}}))
+	f.Add(packClaim(members.Claim{Capacity: 1, Zone: "z"}))
+	f.Add(pack(kindFenced, fenced{"n", 1, 2}))
+	f.Add([]byte{'b', 0, 0, 0, 0, 0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, _, body, err := kindOf(b); err == nil {
+			if x, err := readBulletin(body); err == nil && (x.Name == "" || len(x.Facts) > 0 && x.Facts[0].Key == "") {
+				t.Fatal(x)
+			}
+			var x fenced
+			_ = unpack(body, &x)
+		}
+		_, _ = readClaim("n@0000000000000001", "a:1", b)
+		total := 0
+		_ = readState(b, 100, func(m []byte) { total += len(m) })
+		if total > len(b) {
+			t.Fatal("more than there was")
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/gossip/part.go
@@ -0,0 +1,594 @@
+// Package gossip is the part of a process that speaks to the other members of its fleet. What it hears goes to a members.Table, on
+// a loop of its own; what that decides is carried out here and handed to whoever has subscribed.
+package gossip
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"log"
+	"log/slog"
+	"maps"
+	mathrand "math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"golang.org/x/time/rate"
+
+	"lanewheel/internal/logline"
+	"lanewheel/internal/loop"
+	"lanewheel/internal/members"
+)
+
+// Told is what the part goes by.
+type Told struct {
+	Name      members.Name
+	Cluster   string // which fleet; others are not heard
+	Listen    string // ip:port, UDP and TCP
+	Advertise string // where others reach it; empty: where it listens
+	Roles     members.Roles
+	Zone      string
+	Release   string
+	Capacity  float64
+	Warm      time.Duration
+	Keys      []members.Key
+	Probe     time.Duration // between two calls to another member
+	Rate      float64       // messages a second that are taken
+	Watch     string        // a local socket, empty for none
+	Leaves    bool          // a fenced one leaves
+	Members   members.Told
+}
+
+// Report is what the process behind the part says of itself for a bulletin.
+type Report struct {
+	Ready   bool
+	Leaving bool
+	Facts   []members.Fact
+}
+
+// Process is whom the part speaks for. Its methods may be called on any goroutine.
+type Process interface {
+	// Report has then called with how the process stands.
+	Report(then func(Report))
+	// Fenced tells that a later life has the name.
+	Fenced()
+}
+
+// Part is one process's place in the fleet. All but what is atomic belongs to its loop.
+type Part struct {
+	*loop.Loop
+	told    Told
+	process Process
+	table   *members.Table
+	list    *memberlist.Memberlist
+	conf    *memberlist.Config
+	net     *transport
+	lines   *lines
+	queue   *memberlist.TransmitLimitedQueue
+	chance  *mathrand.Rand
+
+	seq      uint64
+	readyAt  time.Duration // since when it is ready, under 0 if it is not
+	own      atomic.Pointer[said]
+	view     atomic.Pointer[members.View]
+	messages atomic.Pointer[rate.Limiter]
+	dropped  atomic.Uint64 // messages past the rate
+	bad      atomic.Uint64 // that can't be read
+	refused  atomic.Uint64 // claims
+	calls    chan string   // addresses for the one goroutine that calls
+	calling  bool
+	leaving  bool
+	ousted   bool
+	closed   chan struct{}
+	listens  []func(*members.View)
+	tally    logline.Tally[string]
+	steps    map[string]uint64
+	standing members.Standing
+	began    time.Time
+	mu       sync.Mutex
+	heard    map[string]struct{} // who was heard since the last look
+	left     sync.Once           // the library can't be left twice
+}
+
+// said is our last bulletin as it goes out, with when it was written.
+type said struct {
+	b  []byte
+	at time.Time
+}
+
+func (s *said) now() []byte { return aged(append([]byte(nil), s.b...), time.Since(s.at)) }
+
+// New opens the sockets; nothing is said before Start.
+func New(told Told, process Process, seed uint64) (*Part, error) {
+	ip, port, err := split(told.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if told.Advertise == "" {
+		told.Advertise = told.Listen
+	}
+	aip, aport, err := split(told.Advertise)
+	if err != nil {
+		return nil, err
+	}
+	var life [8]byte
+	if _, err := rand.Read(life[:]); err != nil {
+		return nil, err
+	}
+	self := members.Claim{Name: told.Name, Life: members.Life(binary.BigEndian.Uint64(life[:])), Addr: told.Advertise, Roles: told.Roles,
+		// A start by the clock is mostly above the life before; where the clock went back, the number is learnt (members.Table).
+		Incarnation: members.Incarnation(max(1, time.Now().UnixMilli())),
+		Zone:        told.Zone, Release: told.Release, Capacity: told.Capacity, Warm: told.Warm}
+	p := &Part{Loop: loop.New(1 << 14), began: time.Now(), heard: map[string]struct{}{}, told: told, process: process, lines: &lines{count: map[string]uint64{}},
+		chance: mathrand.New(mathrand.NewPCG(seed, uint64(self.Life))), calls: make(chan string, 1), closed: make(chan struct{}), readyAt: -1, steps: map[string]uint64{}}
+	p.table = members.New(self, told.Members, 0)
+	p.view.Store(p.table.View())
+	p.limit(told.Rate)
+	p.say(members.Bulletin{ID: self.ID(), Incarnation: self.Incarnation})
+	logger := log.New(p.lines, "", 0)
+	if p.net, err = newTransport(ip, port, logger, p.ear); err != nil {
+		return nil, err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.Logger, c.Label = self.ID().String(), p.net, logger, told.Cluster
+	c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = ip.String(), port, aip.String(), aport
+	c.ProbeInterval, c.ProbeTimeout = told.Probe, told.Probe/2
+	// Two others have to confirm before the shortest time holds; at 100 members that is 4 s with calls each 500 ms.
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 4, 3
+	c.GossipInterval, c.GossipNodes = 150*time.Millisecond, 3
+	c.RetransmitMult = 3
+	c.GossipToTheDeadTime = 30 * time.Second
+	c.PushPullInterval = 10 * time.Second // the library makes that 20 s at 64 members, 40 at 256; who differs is called before
+	c.TCPTimeout = 2 * time.Second        // some round trips of a poor link; one goroutine alone calls
+	c.DeadNodeReclaimTime = time.Second
+	c.Delegate, c.Events, c.Alive, c.Ping, c.Conflict = p, p, p, p, p
+	if len(told.Keys) > 0 {
+		var all [][]byte
+		for _, k := range told.Keys {
+			all = append(all, k)
+		}
+		if c.Keyring, err = memberlist.NewKeyring(all, told.Keys[0]); err != nil {
+			return nil, err
+		}
+	}
+	p.conf = c
+	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 2, NumNodes: func() int { return p.view.Load().Len() + 1 }}
+	if p.list, err = memberlist.Create(c); err != nil {
+		_ = p.net.Shutdown()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Part) limit(perSecond float64) {
+	p.messages.Store(rate.NewLimiter(rate.Limit(perSecond), int(max(1, perSecond))))
+}
+
+// Subscribe has then called with each new view, on the part's loop: who has a loop of its own hands it on there. It belongs to
+// the time before Start.
+func (p *Part) Subscribe(then func(*members.View)) { p.listens = append(p.listens, then) }
+
+// View is what is believed now. Any goroutine may ask.
+func (p *Part) View() *members.View { return p.view.Load() }
+
+// Start begins to speak.
+func (p *Part) Start() {
+	if p.told.Watch != "" {
+		p.watch(p.told.Watch)
+	}
+	go p.call()
+	p.Hand(func() {
+		p.look()
+		p.reach()
+		p.publish()
+	})
+	go p.Run(func() {})
+}
+
+// look is how often the table looks at the time. Danger: it must be often against Stall, or we seem to stand still.
+const look = 100 * time.Millisecond
+
+func (p *Part) look() {
+	p.mu.Lock()
+	for sender := range p.heard {
+		p.table.Heard(sender)
+	}
+	clear(p.heard)
+	p.mu.Unlock()
+	p.table.Look(p.Now())
+	p.net.muted.Store(p.table.Deaf())
+	p.after()
+	p.tally.Rest(p.Wall(), func(step string, more int) { slog.Info("members", "step", step, "more", more) })
+	if !p.Ended() {
+		p.At(p.Now()+look, p.look)
+	}
+}
+
+// ear notes a sender until the next look. Danger: a flood of packets that each hand the loop a call; and senders without end.
+func (p *Part) ear(sender string) {
+	const most = 4096 // many times the members that one process hears in a tenth of a second
+	p.mu.Lock()
+	if len(p.heard) < most {
+		p.heard[sender] = struct{}{}
+	}
+	p.mu.Unlock()
+}
+
+// after carries out what the table has come to.
+func (p *Part) after() {
+	for _, c := range p.table.Changes() {
+		step := fmt.Sprintf("%v-%v", c.Was, c.Is)
+		p.steps[step]++
+		if p.tally.Line(step, p.Wall()) {
+			slog.Info("member", "name", string(c.Name), "incarnation", uint64(c.Incarnation), "was", c.Was, "is", c.Is, "why", string(c.Why), "view", c.Version)
+		}
+	}
+	v := p.table.View()
+	if v == p.view.Load() {
+		return
+	}
+	p.view.Store(v)
+	if v.Standing != p.standing {
+		slog.Info("standing", "was", p.standing, "is", v.Standing, "reach", fmt.Sprintf("%.2f", v.Reach), "members", v.Len(), "view", v.Version)
+		p.standing = v.Standing
+	}
+	for _, then := range p.listens {
+		then(v)
+	}
+}
+
+// publish says how we stand, at the table's pace.
+func (p *Part) publish() {
+	if p.Ended() {
+		return
+	}
+	p.process.Report(func(r Report) { p.Hand(func() { p.bulletin(r) }) })
+	// Half to one and a half times the pace. Danger: hundreds that started at one moment all speak at the same moments.
+	p.At(p.Now()+time.Duration((0.5+p.chance.Float64())*float64(p.table.Pace())), p.publish)
+}
+
+func (p *Part) bulletin(r Report) {
+	switch {
+	case !r.Ready:
+		p.readyAt = -1
+	case p.readyAt < 0:
+		p.readyAt = p.Now()
+	}
+	p.seq++
+	self := p.table.Self()
+	b := members.Bulletin{ID: self.ID(), Incarnation: self.Incarnation, Seq: p.seq, Ready: r.Ready, Leaving: r.Leaving || p.leaving, Digest: p.table.Digest(), Facts: r.Facts}
+	if r.Ready {
+		b.ReadyFor = p.Now() - p.readyAt
+	}
+	for i := range b.Facts {
+		if b.Facts[i].Holds == 0 {
+			b.Facts[i].Holds = p.table.Holds()
+		}
+	}
+	p.say(b)
+	p.queue.QueueBroadcast(&passing{of: b.ID, s: p.own.Load()})
+}
+
+func (p *Part) say(b members.Bulletin) { p.own.Store(&said{packBulletin(b), time.Now()}) }
+
+// passing is a bulletin on its way through the fleet; its age is written each time it goes out.
+type passing struct {
+	of members.ID
+	s  *said
+}
+
+func (b *passing) Invalidates(other memberlist.Broadcast) bool {
+	o, is := other.(*passing)
+	return is && o.of == b.of
+}
+func (b *passing) Message() []byte { return b.s.now() }
+func (b *passing) Finished()       {}
+
+// reach calls, once a second, whoever may be a part of the fleet that does not know of us.
+func (p *Part) reach() {
+	if p.Ended() {
+		return
+	}
+	if addr, any := p.table.Reach(p.Now(), p.chance.Float64); any && !p.calling && !p.leaving && !p.ousted {
+		p.calling = true
+		p.calls <- addr // there is room: one alone is under way
+	}
+	pause := time.Second
+	if p.table.View().Len() == 0 { // alone: soon, and not all at the same moment
+		pause = time.Duration((0.1 + 0.4*p.chance.Float64()) * float64(time.Second))
+	}
+	p.At(p.Now()+pause, p.reach)
+}
+
+// call is the one goroutine that calls.
+func (p *Part) call() {
+	for {
+		select {
+		case <-p.closed:
+			return
+		case addr := <-p.calls:
+			n, err := p.list.Join([]string{addr})
+			p.Hand(func() {
+				p.calling = false
+				p.table.Tried(addr, n > 0, p.Now(), p.chance.Float64)
+				if n > 0 {
+					p.table.Answered(p.Now())
+					p.table.Heard(host(addr))
+				} else if p.tally.Line("call-failed", p.Wall()) {
+					slog.Info("call-failed", "addr", addr, "err", err)
+				}
+			})
+		}
+	}
+}
+
+// Put takes values that were told anew: keys, seeds and times. What it listens on and is called holds from the next start.
+func (p *Part) Put(told Told) {
+	p.Hand(func() {
+		turn := members.Turned(p.told.Keys, told.Keys)
+		if ring := p.conf.Keyring; ring != nil {
+			var err error
+			for _, k := range turn.Add {
+				err = firstOf(err, ring.AddKey(k))
+			}
+			if turn.Use != nil {
+				err = firstOf(err, ring.UseKey(turn.Use))
+			}
+			for _, k := range turn.Drop {
+				err = firstOf(err, ring.RemoveKey(k))
+			}
+			if len(turn.Add)+len(turn.Drop) > 0 || turn.Use != nil || err != nil {
+				slog.Info("fleet-keys", "added", len(turn.Add), "used", turn.Use != nil, "dropped", len(turn.Drop), "err", err)
+			}
+		}
+		p.told.Keys, p.told.Members, p.told.Rate = told.Keys, told.Members, told.Rate
+		p.table.Retell(told.Members)
+		p.limit(told.Rate)
+	})
+}
+
+func firstOf(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// Leave is the notice to drain: it is said at once, and the fleet is left shortly before last, a time from now.
+func (p *Part) Leave(last time.Duration) {
+	p.Hand(func() {
+		if p.leaving {
+			return
+		}
+		p.leaving = true
+		p.process.Report(func(r Report) { p.Hand(func() { p.bulletin(r) }) })
+		// The word that we left takes some rounds of gossip; half a second of the end is for it.
+		const word = 500 * time.Millisecond
+		p.At(p.Now()+max(0, last-word), func() { go p.leave(min(last, word) / 2) })
+	})
+}
+
+func (p *Part) leave(within time.Duration) {
+	p.depart(within)
+	p.Hand(func() {
+		if p.Ended() {
+			return
+		}
+		p.Over()
+		close(p.closed)
+	})
+}
+
+// depart says that we leave, to all that hear it within that time, and ends the gossip.
+func (p *Part) depart(within time.Duration) {
+	p.left.Do(func() {
+		_ = p.list.Leave(within)
+		_ = p.list.Shutdown()
+	})
+}
+
+// Closed tells whether the fleet has been left.
+func (p *Part) Closed() bool {
+	select {
+	case <-p.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// oust ends our part in the fleet: a later life has our name.
+func (p *Part) oust() {
+	if p.ousted {
+		return
+	}
+	p.ousted = true
+	slog.Warn("fenced", "name", string(p.told.Name), "incarnation", uint64(p.table.Self().Incarnation), "leaves", p.told.Leaves)
+	p.after()
+	// Danger: shutting down without a word would have the detector doubt a life that is over anyway; with one it says the old
+	// life has left, which nobody takes for the new one.
+	go p.depart(200 * time.Millisecond)
+	if p.told.Leaves {
+		p.process.Fenced()
+	}
+}
+
+// claimed hands a claim to the table and does what it says.
+func (p *Part) claimed(c members.Claim) {
+	switch p.table.Claimed(c, p.Now()) {
+	case members.Old:
+		p.tell(c)
+	case members.Raised:
+		slog.Info("incarnation-raised", "name", string(p.told.Name), "incarnation", uint64(p.table.Self().Incarnation))
+		go func() { _ = p.list.UpdateNode(time.Second) }()
+	case members.Lost:
+		p.oust()
+	}
+	p.after()
+}
+
+// tell says to an old life that it is over, if that is on us.
+func (p *Part) tell(old members.Claim) {
+	if !p.table.Tells(old.ID(), p.Now()) {
+		return
+	}
+	word := fenced{Name: string(old.Name)}
+	if self := p.table.Self(); old.Name == self.Name {
+		word.Incarnation, word.Life = uint64(self.Incarnation), uint64(self.Life)
+	} else if m, known := p.table.View().Get(old.Name); known {
+		word.Incarnation, word.Life = uint64(m.Incarnation), uint64(m.Life)
+	}
+	addr, err := net.ResolveUDPAddr("udp", old.Addr) // an address in figures: nothing is looked up
+	if err != nil {
+		return
+	}
+	b := pack(kindFenced, word)
+	to := memberlist.Address{Addr: addr.String(), Name: old.ID().String()}
+	go func() { _ = p.list.SendToAddress(to, b) }()
+}
+
+// The rest is what the library calls, on goroutines of its own.
+
+// NodeMeta is memberlist.Delegate.
+func (p *Part) NodeMeta(limit int) []byte { return packClaim(p.view.Load().Self) }
+
+// NotifyAlive is memberlist.AliveDelegate: it refuses what can't be a member before it is gossiped on. Danger: names without end.
+func (p *Part) NotifyAlive(n *memberlist.Node) error {
+	c, err := readClaim(n.Name, n.Address(), n.Meta)
+	if err == nil {
+		v := p.view.Load()
+		if _, known := v.Get(c.Name); !known && c.Name != v.Self.Name && v.Len() >= p.told.Members.Most && v.Count(members.Gone) == 0 {
+			err = errSize
+		}
+	}
+	if err != nil {
+		p.refused.Add(1)
+	}
+	return err
+}
+
+// NotifyJoin is memberlist.EventDelegate.
+func (p *Part) NotifyJoin(n *memberlist.Node) {
+	if c, err := readClaim(n.Name, n.Address(), n.Meta); err == nil {
+		p.Hand(func() { p.claimed(c) })
+	}
+}
+
+// NotifyUpdate is memberlist.EventDelegate.
+func (p *Part) NotifyUpdate(n *memberlist.Node) { p.NotifyJoin(n) }
+
+// NotifyLeave is memberlist.EventDelegate.
+func (p *Part) NotifyLeave(n *memberlist.Node) {
+	if id, ok := members.ReadID(n.Name); ok {
+		left := n.State == memberlist.StateLeft
+		p.Hand(func() {
+			p.table.Lost(id, left, p.Now())
+			p.after()
+		})
+	}
+}
+
+// NotifyConflict is memberlist.ConflictDelegate: one life at two addresses, which only a copied process could be.
+func (p *Part) NotifyConflict(existing, other *memberlist.Node) {
+	slog.Warn("conflict", "life", existing.Name, "here", existing.Address(), "there", other.Address())
+}
+
+// AckPayload is memberlist.PingDelegate: whoever calls hears how we stand, first hand.
+func (p *Part) AckPayload() []byte { return p.own.Load().now() }
+
+// NotifyPingComplete is memberlist.PingDelegate.
+func (p *Part) NotifyPingComplete(other *memberlist.Node, rtt time.Duration, payload []byte) {
+	b := append([]byte(nil), payload...)
+	p.Hand(func() {
+		p.table.Answered(p.Now())
+		p.message(b, rtt/2)
+	})
+}
+
+// NotifyMsg is memberlist.Delegate. Danger: a member gone wild that floods the others; past the rate its messages are dropped, as
+// is what it can be made good by: the next bulletin.
+func (p *Part) NotifyMsg(b []byte) {
+	if !p.messages.Load().Allow() {
+		p.dropped.Add(1)
+		return
+	}
+	b = append([]byte(nil), b...)
+	p.Hand(func() { p.message(b, 0) })
+}
+
+// message reads one and hands it to the table; what is new goes on to others.
+func (p *Part) message(b []byte, under time.Duration) {
+	kind, age, body, err := kindOf(b)
+	if err == nil {
+		switch kind {
+		case kindBulletin:
+			var x members.Bulletin
+			if x, err = readBulletin(body); err == nil && p.table.Told(x, age+under, p.Now()) {
+				p.queue.QueueBroadcast(&passing{of: x.ID, s: &said{append([]byte(nil), b...), time.Now().Add(-age - under)}})
+				p.after()
+			}
+		case kindFenced:
+			var x fenced
+			if err = unpack(body, &x); err == nil && members.Name(x.Name) == p.told.Name {
+				switch p.table.Fence(members.Incarnation(x.Incarnation), members.Life(x.Life), p.Now()) {
+				case members.Lost:
+					p.oust()
+				case members.Raised:
+					go func() { _ = p.list.UpdateNode(time.Second) }()
+				}
+				p.after()
+			}
+		default:
+			err = errKind
+		}
+	}
+	if err != nil {
+		p.bad.Add(1)
+	}
+}
+
+// GetBroadcasts is memberlist.Delegate.
+func (p *Part) GetBroadcasts(overhead, limit int) [][]byte {
+	return p.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState is memberlist.Delegate: all that we believe of the others' bulletins, for one that joins or was away.
+func (p *Part) LocalState(join bool) []byte {
+	v := p.view.Load()
+	all := [][]byte{p.own.Load().now()}
+	now := time.Since(p.began)
+	for m := range v.All() {
+		if m.Seq == 0 || m.State == members.Gone || m.State == members.Fenced {
+			continue
+		}
+		b, age := m.Bulletin(now)
+		all = append(all, aged(packBulletin(b), age))
+	}
+	return packState(all)
+}
+
+// MergeRemoteState is memberlist.Delegate.
+func (p *Part) MergeRemoteState(b []byte, join bool) {
+	if err := readState(b, p.told.Members.Most+1, func(m []byte) {
+		m = append([]byte(nil), m...)
+		p.Hand(func() { p.message(m, 0) })
+	}); err != nil {
+		p.bad.Add(1)
+	}
+}
+
+// counts is what came and what became of it.
+func (p *Part) counts() map[string]uint64 {
+	c := p.table.Counts
+	all := map[string]uint64{"packets-in": p.net.in.Load(), "packets-out": p.net.out.Load(), "bytes-in": p.net.inBytes.Load(), "bytes-out": p.net.outBytes.Load(),
+		"kept-back": p.net.kept.Load(), "dropped": p.dropped.Load(), "bad": p.bad.Load(), "refused": p.refused.Load() + c.Refused,
+		"changes": c.Changes, "stale": c.Stale, "oversized": c.Oversized, "fenced": c.Fenced, "refuted": c.Refuted, "stood-still": c.Stood}
+	for code, n := range p.lines.counts() {
+		all["gossip-"+code] = n
+	}
+	maps.Copy(all, p.steps)
+	return all
+}
--- /dev/null
+++ b/internal/fleet/gossip/watch.go
@@ -0,0 +1,137 @@
+package gossip
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"lanewheel/internal/members"
+)
+
+// Snapshot is a process's view of the fleet, for whoever watches it.
+type Snapshot struct {
+	Name        string            `json:"name"`
+	Life        string            `json:"life"`
+	Incarnation uint64            `json:"incarnation"`
+	Zone        string            `json:"zone"`
+	Release     string            `json:"release"`
+	Standing    string            `json:"standing"`
+	Reach       float64           `json:"reach"`
+	Version     uint64            `json:"version"`
+	Digest      string            `json:"digest"` // of the lives that it holds to be here, itself among them
+	States      map[string]int    `json:"states"`
+	Members     []SnapshotMember  `json:"members"` // brief: only those that are not up
+	Counts      map[string]uint64 `json:"counts"`
+	CPUms       int64             `json:"cpu_ms"` // of this process since its start
+}
+
+// SnapshotMember is one member as the process believes it to be.
+type SnapshotMember struct {
+	Name        string             `json:"name"`
+	Life        string             `json:"life"`
+	Incarnation uint64             `json:"incarnation"`
+	State       string             `json:"state"`
+	Why         string             `json:"why"`
+	ForMS       int64              `json:"for_ms"` // in this state
+	SpokeMS     int64              `json:"spoke_ms"`
+	Addr        string             `json:"addr"`
+	Roles       string             `json:"roles"`
+	Zone        string             `json:"zone"`
+	Release     string             `json:"release"`
+	Capacity    float64            `json:"capacity"`
+	Facts       map[string]float64 `json:"facts"` // those that are still believed
+	Stale       []string           `json:"stale,omitempty"`
+}
+
+// What may be asked for, a word on a line.
+const (
+	Whole = "view"
+	Brief = "brief"
+)
+
+func (p *Part) snapshot(what string) Snapshot {
+	v, now := p.table.View(), p.Now()
+	s := Snapshot{Name: string(v.Self.Name), Life: fmt.Sprintf("%016x", uint64(v.Self.Life)), Incarnation: uint64(v.Self.Incarnation), Zone: v.Self.Zone,
+		Release: v.Self.Release, Standing: v.Standing.String(), Reach: v.Reach, Version: v.Version,
+		Digest: fmt.Sprintf("%016x", v.Digest()^members.Mark(v.Self.ID())), States: map[string]int{}, Counts: p.counts(), CPUms: spent().Milliseconds()}
+	for m := range v.All() {
+		s.States[m.State.String()]++
+		if what == Brief && m.State == members.Up {
+			continue
+		}
+		one := SnapshotMember{Name: string(m.Name), Life: fmt.Sprintf("%016x", uint64(m.Life)), Incarnation: uint64(m.Incarnation), State: m.State.String(),
+			Why: string(m.Why), ForMS: (now - m.Since).Milliseconds(), SpokeMS: (now - m.Spoke).Milliseconds(), Addr: m.Addr, Roles: m.Roles.String(),
+			Zone: m.Zone, Release: m.Release, Capacity: m.Capacity, Facts: map[string]float64{}}
+		for _, f := range m.Facts {
+			if value, _, ok := m.Fact(f.Key, now); ok {
+				one.Facts[f.Key] = value
+			} else {
+				one.Stale = append(one.Stale, f.Key)
+			}
+		}
+		slices.Sort(one.Stale)
+		s.Members = append(s.Members, one)
+	}
+	return s
+}
+
+// watch answers each connection to a local socket with one snapshot, one after the other. Danger: who connects and does not read
+// would hold up the next, so each has a second.
+func (p *Part) watch(path string) {
+	_ = os.Remove(path) // one that an earlier life has left
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		slog.Warn("no-watch", "err", err)
+		return
+	}
+	_ = os.Chmod(path, 0o600)
+	go func() {
+		<-p.closed
+		l.Close()
+	}()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.show(c)
+			c.Close()
+		}
+	}()
+}
+
+func (p *Part) show(c net.Conn) {
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	line, err := bufio.NewReaderSize(c, 16).ReadSlice('\n')
+	if err != nil {
+		return
+	}
+	what := string(line[:len(line)-1])
+	came := make(chan Snapshot, 1)
+	p.Hand(func() { came <- p.snapshot(what) })
+	select {
+	case s := <-came:
+		_ = json.NewEncoder(c).Encode(s)
+	case <-time.After(time.Second):
+	}
+}
+
+// Watch reads a snapshot from the socket of a running process; what is Whole or Brief.
+func Watch(path, what string) (s Snapshot, err error) {
+	c, err := net.DialTimeout("unix", path, time.Second)
+	if err != nil {
+		return s, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := fmt.Fprintln(c, what); err != nil {
+		return s, err
+	}
+	return s, json.NewDecoder(c).Decode(&s)
+}
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -189,7 +189,7 @@
 func (in *Instance) Load() front.Load {
 	cores, _ := in.told.Facts["cores"].(float64)
 	return front.Load{Up: in.desk != nil && in.runtime.synced, Leaving: in.leaving, Well: in.well(), Cores: cores,
-		Held: len(in.ops) - in.running, Running: in.running, Room: in.most - len(in.ops)}
+		Held: len(in.ops) - in.running, Running: in.running, Room: in.most - len(in.ops), Signal: in.say}
 }
 
 // admit hands an op to the module. before is the op as it waited at the door, nil if it did not.
--- a/internal/life/callers.go
+++ b/internal/life/callers.go
@@ -16,6 +16,7 @@
 	"lanewheel/internal/fault"
 	"lanewheel/internal/identity"
 	"lanewheel/internal/keyring"
+	"lanewheel/internal/members"
 	"lanewheel/internal/operator"
 	"lanewheel/internal/tokens"
 	"lanewheel/internal/wire"
@@ -26,7 +27,9 @@
 	File    operator.File
 	Callers *identity.Parts // nil: all may do everything
 	Server  *tls.Config     // nil: no listener with TLS
-	digest  [sha256.Size]byte
+
+	ClusterKeys []members.Key // the first is the one to write with
+	digest      [sha256.Size]byte
 }
 
 // sum goes by the bytes of all that was read.
@@ -71,6 +74,11 @@
 			return o, err
 		}
 	}
+	if f.Fleet.On {
+		if err := s.fleet(&o); err != nil {
+			return o, err
+		}
+	}
 	if f.AMQP.On {
 		if err := s.queues(&o); err != nil {
 			return o, err
@@ -167,7 +175,8 @@
 	of := func(o *Operated) map[string]string {
 		t := &o.File.TLS
 		return map[string]string{"callers": strconv.FormatBool(o.Callers != nil), "tls.listen": t.Listen,
-			"tls.handshakes": strconv.Itoa(t.Handshakes), "tls.handshake-rate": fmt.Sprint(t.Rate), "log.format": o.File.Log.Format, "amqp": o.File.AMQP.Fixed()}
+			"tls.handshakes": strconv.Itoa(t.Handshakes), "tls.handshake-rate": fmt.Sprint(t.Rate), "log.format": o.File.Log.Format, "amqp": o.File.AMQP.Fixed(),
+			"fleet": fixedFleet(&o.File.Fleet)}
 	}
 	is, was := of(o), of(before)
 	for _, name := range slices.Sorted(maps.Keys(is)) {
--- /dev/null
+++ b/internal/life/fleet.go
@@ -0,0 +1,34 @@
+package life
+
+import (
+	"errors"
+	"fmt"
+
+	"lanewheel/internal/keep"
+	"lanewheel/internal/operator"
+)
+
+// Joins brings an instance into its fleet and gives what takes a file that was read anew.
+type Joins func(in *keep.Instance, told keep.Told, o *Operated) (reload func(*Operated), err error)
+
+// Fleet is set by a program that has the fleet's parts linked; they take memory at rest, so not every program has.
+var Fleet Joins
+
+// ErrFleet says that the operator's file asks for what this program has not linked.
+var ErrFleet = errors.New("the operator's file tells of a fleet, which another program has linked")
+
+// fleet reads what the part needs beside the operator's file.
+func (s sum) fleet(o *Operated) error {
+	path := o.File.Fleet.Keys
+	text, err := s.file(path)
+	if err != nil {
+		return err
+	}
+	o.ClusterKeys, err = operator.ReadClusterKeys(path, text)
+	return err
+}
+
+// fixedFleet is all of the section that holds from the start on, as text to compare.
+func fixedFleet(f *operator.Fleet) string {
+	return fmt.Sprint(f.On, f.Name, f.Cluster, f.Listen, f.Advertise, f.Roles, f.Zone, f.Release, f.Capacity, f.Warm, f.Probe, f.Watch, f.Leaves)
+}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return err
 	}
+	if with.File.Fleet.On && Fleet == nil {
+		return ErrFleet
+	}
 	if format == "" {
 		logline.Start(os.Stderr, with.File.Log.Format)
 	}
@@ -51,6 +54,11 @@
 		return err
 	}
 	attach(k.in, told, &with)
+	if with.File.Fleet.On {
+		if k.refleet, err = Fleet(k.in, told, &with); err != nil {
+			return err
+		}
+	}
 	go k.heed(signals)
 	slog.Info("listening", "name", told.Name, "addr", told.Listen)
 	if with.Server != nil {
@@ -67,7 +75,8 @@
 	operated string   // of the operator's file, empty if there is none
 	with     Operated // what is in force of it
 	server   atomic.Pointer[tls.Config]
-	pause    func() // between two readings: for as long as still
+	pause    func()          // between two readings: for as long as still
+	refleet  func(*Operated) // takes the section [fleet] anew; nil where there is none
 }
 
 // heed carries out what signals ask for: SIGTERM to leave, SIGHUP to go by the files as they are now.
@@ -149,6 +158,9 @@
 			k.server.Store(r.with.Server)
 		}
 		k.in.Hand(func() { k.in.Admit(r.with.Callers) })
+		if k.refleet != nil {
+			k.refleet(&r.with)
+		}
 		slog.Info("operated", "file", k.operated, "keys", r.with.keys(), "roles", len(r.with.File.Callers.Roles),
 			"callers", len(r.with.File.Callers.Map))
 	}
--- /dev/null
+++ b/internal/operator/drill.go
@@ -0,0 +1,195 @@
+package operator
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"lanewheel/internal/fault"
+)
+
+// Drill is a script for a rehearsal: so many processes, a load, and what is done to them.
+type Drill struct {
+	Path      string
+	Processes int
+	Seeds     int // how many of them the others are told of
+	Stubs     int
+	Seed      uint64
+	For       time.Duration // of load, from when all are up
+	Start     time.Duration // over which the processes are started
+	Settle    time.Duration // after a fault is over, until all has to be as it should
+	Rate      float64       // ops a second, all together
+	Mean      time.Duration // of a run
+	MemoryMB  float64       // that one process may hold
+	Zones     []string
+	Releases  []string
+	Members   [][2]string // names and values for each process's section [fleet]
+	Faults    []DrillFault
+}
+
+// DrillFault is one thing that is done, to links or to processes.
+type DrillFault struct {
+	Name          string
+	Do            string
+	First, Last   time.Duration // it begins between these, by chance
+	For           time.Duration // until it is undone; 0 for what can't be
+	On, From, To  Group
+	Both          bool // the way back as well
+	Share         float64
+	Delay, Jitter time.Duration
+	Rate          int // bytes a second
+	Keys          []int
+	Seeds         int
+	NoneGone      bool // nobody who is there may be given up over it
+	Refuses       bool // ops may be without an answer while it lasts
+}
+
+// Group names processes. Kind is all, rest (none of the other end), zone, release, process, first, draw.
+type Group struct {
+	Kind  string
+	Name  string
+	Count int
+	Share float64
+}
+
+// What can be done to links, and to processes.
+var (
+	LinkFaults    = []string{"refuse", "swallow", "delay", "lose", "duplicate", "reorder", "narrow", "stall", "half-close", "garble"}
+	ProcessFaults = []string{"kill", "wipe", "pause", "restart", "replace", "leave", "late-runtime", "keys", "seeds", "flood"}
+)
+
+// LoadDrill reads a script. The error is a fault.List with all that is wrong.
+func LoadDrill(path string) (Drill, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Drill{}, fault.List{{File: path, Want: "can't be read: " + err.Error()}}
+	}
+	return ParseDrill(path, text)
+}
+
+// ParseDrill reads a script's text; path is what its faults name.
+func ParseDrill(path string, text []byte) (Drill, error) {
+	r := read(path, text)
+	d := Drill{Path: path, Processes: 20, Seeds: 1, Stubs: 8, Seed: 1, For: 30 * time.Second, Start: time.Second, Settle: 20 * time.Second,
+		Rate: 100, Mean: 5 * time.Millisecond, MemoryMB: 64, Zones: []string{"a"}, Releases: []string{"1"}}
+	s := r.section("drill")
+	if !s.given() {
+		s.wrong("", "", "is missing")
+	}
+	s.count("processes", &d.Processes, 2, 1000)
+	s.count("seed-processes", &d.Seeds, 1, d.Processes)
+	s.count("stubs", &d.Stubs, 1, 1000)
+	seed := 1
+	s.count("seed", &seed, 0, 1<<53)
+	d.Seed = uint64(seed)
+	s.span("for", &d.For, time.Second, 24*time.Hour)
+	s.span("start", &d.Start, 0, time.Hour)
+	s.span("settle", &d.Settle, 100*time.Millisecond, time.Hour)
+	s.number("rate", &d.Rate, 0.1, 100_000)
+	s.span("mean", &d.Mean, 0, time.Minute)
+	s.number("memory-mb", &d.MemoryMB, 16, 4096)
+	if all := s.list("zones"); len(all) > 0 {
+		d.Zones = all
+	}
+	if all := s.list("releases"); len(all) > 0 {
+		d.Releases = all
+	}
+	s.close()
+	if m := r.section("members"); m.given() {
+		for _, key := range m.keys.KeyStrings() {
+			v, _ := m.value(key)
+			d.Members = append(d.Members, [2]string{key, v})
+		}
+	}
+	for _, f := range r.named("fault") {
+		d.Faults = append(d.Faults, f.drillFault(&d))
+	}
+	r.close("fault")
+	return d, r.faults.Err()
+}
+
+func (s *section) drillFault(d *Drill) DrillFault {
+	f := DrillFault{Name: s.title(), Share: 1}
+	s.word("do", &f.Do, append(append([]string{}, LinkFaults...), ProcessFaults...)...)
+	if f.Do == "" {
+		s.wrong("do", "", "wants what is done, as swallow or kill")
+	}
+	at, _ := s.value("at")
+	first, last, spread := strings.Cut(at, "..")
+	if !spread {
+		last = first
+	}
+	var err error
+	if f.First, err = time.ParseDuration(strings.TrimSpace(first)); err == nil {
+		f.Last, err = time.ParseDuration(strings.TrimSpace(last))
+	}
+	if err != nil || f.First < 0 || f.Last < f.First {
+		s.wrong("at", at, "wants a time, or two with .. between, from when all are up")
+	}
+	s.span("for", &f.For, 0, 24*time.Hour)
+	f.On, f.From, f.To = s.group("on", d), s.group("from", d), s.group("to", d)
+	link := false
+	for _, name := range LinkFaults {
+		link = link || name == f.Do
+	}
+	switch {
+	case link && (f.From.Kind == "" || f.To.Kind == ""):
+		s.wrong("from", "", "wants both, from and to, as the fault is one of links")
+	case !link && f.On.Kind == "" && f.Do != "":
+		s.wrong("on", "", "wants processes, as zone a, draw 5 or draw 33%")
+	}
+	s.flag("both", &f.Both)
+	s.number("share", &f.Share, 0, 1)
+	s.span("delay", &f.Delay, 0, time.Minute)
+	s.span("jitter", &f.Jitter, 0, time.Minute)
+	s.count("rate", &f.Rate, 1, 1<<30)
+	for _, k := range s.list("keys") {
+		n, err := strconv.Atoi(k)
+		if err != nil || n < 1 || n > 8 {
+			s.wrong("keys", k, "wants numbers from 1 to 8, the one to write with first")
+		}
+		f.Keys = append(f.Keys, n)
+	}
+	s.count("seeds", &f.Seeds, 1, d.Processes)
+	s.flag("none-gone", &f.NoneGone)
+	s.flag("refuses", &f.Refuses)
+	s.close()
+	return f
+}
+
+// group reads who is meant.
+func (s *section) group(name string, d *Drill) (g Group) {
+	v, told := s.value(name)
+	if !told {
+		return g
+	}
+	kind, rest, _ := strings.Cut(v, " ")
+	rest = strings.TrimSpace(rest)
+	g.Kind, g.Name = kind, rest
+	ok := false
+	switch kind {
+	case "all", "rest":
+		ok = rest == ""
+	case "zone":
+		for _, z := range d.Zones {
+			ok = ok || z == rest
+		}
+	case "release":
+		for _, r := range d.Releases {
+			ok = ok || r == rest
+		}
+	case "process", "first", "draw":
+		number, part := strings.CutSuffix(rest, "%")
+		n, err := strconv.Atoi(number)
+		g.Count, g.Share = n, float64(n)/100
+		if !part {
+			g.Share = 0
+		}
+		ok = err == nil && n >= 0 && (part && kind == "draw" && n <= 100 || !part && n <= d.Processes)
+	}
+	if !ok {
+		s.wrong(name, v, "wants all, rest, zone NAME, release NAME, process N, first N, draw N or draw N%")
+	}
+	return g
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	Tokens  Tokens
 	TLS     TLS
 	AMQP    AMQP
+	Fleet   Fleet
 }
 
 // Callers is who may do what. It is on if the file has any section that speaks of callers.
@@ -85,6 +86,7 @@
 	f.Tokens = r.tokens()
 	f.TLS = r.tls()
 	f.AMQP = r.amqp()
+	f.Fleet = r.fleet()
 	f.Callers.On = f.Callers.On || f.Tokens.On || f.TLS.On
 	r.close("caller", "queue", "role")
 	return f, r.faults.Err()
--- a/internal/standin/runtime.go
+++ b/internal/standin/runtime.go
@@ -30,15 +30,35 @@
 // Take accepts the next link and gives the number that it is synced with.
 func (r *Runtime) Take() any {
 	_ = r.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(Patience))
-	conn := Must(r.Listener.Accept())
+	r.read(Must(r.Listener.Accept()))
+	return r.Next()["no"]
+}
+
+// Try takes the next link, whenever it comes; it gives false once nothing listens any more.
+func (r *Runtime) Try() bool {
+	conn, err := r.Listener.Accept()
+	if err != nil {
+		return false
+	}
+	r.read(conn)
+	<-r.Lines // what it is synced with
+	return true
+}
+
+// read has the lines of a link come. One that is cut off in its middle is none: its program was killed.
+func (r *Runtime) read(conn net.Conn) {
 	lines := make(chan map[string]any, 100)
 	r.Conn, r.Lines = conn, lines
 	silent := r.Silent
 	go func() {
 		defer close(lines)
-		for in := bufio.NewScanner(conn); in.Scan(); {
+		for in := bufio.NewReader(conn); ; {
+			text, err := in.ReadBytes('\n')
+			if err != nil {
+				return
+			}
 			var line map[string]any
-			if err := json.Unmarshal(in.Bytes(), &line); err != nil {
+			if err := json.Unmarshal(text, &line); err != nil {
 				panic(err)
 			}
 			if line["t"] != "gauges" {
@@ -48,7 +68,6 @@
 			}
 		}
 	}()
-	return r.Next()["no"]
 }
 
 func (r *Runtime) Ready(state string) {
