--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -71,6 +71,7 @@
 	chance  *mathrand.Rand
 
 	seq      uint64
+	next     time.Duration // when the next bulletin is due
 	readyAt  time.Duration // since when it is ready, under 0 if it is not
 	own      atomic.Pointer[said]
 	view     atomic.Pointer[members.View]
@@ -141,6 +142,7 @@
 	c.GossipInterval, c.GossipNodes = 150*time.Millisecond, 3
 	c.RetransmitMult = 3
 	c.GossipToTheDeadTime = 30 * time.Second
+	c.EnableCompression = false           // its writer takes 100 KB a message: half of a process's time at rest went to clearing up behind it
 	c.PushPullInterval = 10 * time.Second // the library makes that 20 s at 64 members, 40 at 256; who differs is called before
 	c.TCPTimeout = 2 * time.Second        // some round trips of a poor link; one goroutine alone calls
 	c.DeadNodeReclaimTime = time.Second
@@ -240,14 +242,20 @@
 	}
 }
 
-// publish says how we stand, at the table's pace.
+// publish looks how we stand, and says so at the table's pace; at once where others have to know.
 func (p *Part) publish() {
 	if p.Ended() {
 		return
 	}
-	p.process.Report(func(r Report) { p.Hand(func() { p.bulletin(r) }) })
-	// Half to one and a half times the pace. Danger: hundreds that started at one moment all speak at the same moments.
-	p.At(p.Now()+time.Duration((0.5+p.chance.Float64())*float64(p.table.Pace())), p.publish)
+	p.process.Report(func(r Report) {
+		p.Hand(func() {
+			if p.Now() >= p.next || r.Ready != (p.readyAt >= 0) || r.Leaving && !p.leaving {
+				p.bulletin(r)
+			}
+		})
+	})
+	const often = 250 * time.Millisecond // how late a process that has come up is known to have
+	p.At(p.Now()+often, p.publish)
 }
 
 func (p *Part) bulletin(r Report) {
@@ -257,6 +265,8 @@
 	case p.readyAt < 0:
 		p.readyAt = p.Now()
 	}
+	// Half to one and a half times the pace. Danger: hundreds that started at one moment all speak at the same moments.
+	p.next = p.Now() + time.Duration((0.5+p.chance.Float64())*float64(p.table.Pace()))
 	p.seq++
 	self := p.table.Self()
 	b := members.Bulletin{ID: self.ID(), Incarnation: self.Incarnation, Seq: p.seq, Ready: r.Ready, Leaving: r.Leaving || p.leaving, Digest: p.table.Digest(), Facts: r.Facts}
