--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,6 +24,7 @@
 	Queue queueCommand `cmd:"" help:"Check, feed and watch the queues that an operator's file tells of."`
 	Cert  certCommand  `cmd:"" help:"Make an authority, issue certificates and take them back."`
 
+	Relay   relayCommand   `cmd:"" help:"Pass ops on to the instances of a fleet."`
 	Members membersCommand `cmd:"" help:"Show how a running process sees its fleet, and how far views differ."`
 	Drill   drillCommand   `cmd:"" help:"Start many processes, break what lies between them by a script, and judge."`
 }
@@ -85,14 +86,22 @@
 	if errors.Is(err, life.ErrFleet) {
 		err = over()
 	}
-	if err != nil {
-		var all fault.List
-		if errors.As(err, &all) && len(all) > 1 {
-			slog.Error("cannot-start", "err", all[0], "more", len(all)-1)
-		} else {
-			slog.Error("cannot-start", "err", err)
-		}
+	if started(err) != nil {
 		return 1
 	}
 	return 0
 }
+
+// started says in one line why something did not start.
+func started(err error) error {
+	if err == nil {
+		return nil
+	}
+	var all fault.List
+	if errors.As(err, &all) && len(all) > 1 {
+		slog.Error("cannot-start", "err", all[0], "more", len(all)-1)
+	} else {
+		slog.Error("cannot-start", "err", err)
+	}
+	return errSaid
+}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -15,6 +15,7 @@
 // Parts is what only a program brings that has the fleet's parts linked.
 type Parts struct {
 	Joins   life.Joins
+	Relay   func(operated, format string) error
 	Members func(f operator.Fleet, against []string, asJSON bool, out io.Writer) error
 	Drill   func(d *operator.Drill, record, picture string, out io.Writer) (bad int, err error)
 	Show    func(record, picture string, out io.Writer) error
@@ -43,6 +44,19 @@
 	return fmt.Errorf("this needs %s, which is built with lanewheel and stands beside it: %w", sibling, err)
 }
 
+// relayCommand passes ops on to the instances of its fleet.
+type relayCommand struct {
+	Operator string `help:"Operator's file (INI) with the sections [fleet] and [relay]." placeholder:"FILE" type:"path" required:""`
+	Log      string `help:"Form of the log: text or json. Without it the operator's file says." enum:"text,json," default:""`
+}
+
+func (c *relayCommand) Run() error {
+	if linked == nil {
+		return over()
+	}
+	return started(linked.Relay(c.Operator, c.Log))
+}
+
 // membersCommand shows how a running process sees its fleet.
 type membersCommand struct {
 	JSON    bool     `name:"json" help:"Print the whole view as JSON."`
--- a/internal/command/further/further.go
+++ b/internal/command/further/further.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -18,33 +19,39 @@
 	"lanewheel/internal/fleet/gossip"
 	"lanewheel/internal/keep"
 	"lanewheel/internal/life"
+	"lanewheel/internal/life/relays"
 	"lanewheel/internal/members"
 	"lanewheel/internal/operator"
+	"lanewheel/internal/relay"
+	"lanewheel/internal/spread"
 )
 
 // Parts is all that lanewheel-fleet has beside lanewheel.
 func Parts() command.Parts {
-	return command.Parts{Joins: join, Members: show, Drill: rehearse, Show: shown, Differ: differ}
+	return command.Parts{Joins: join, Relay: pass, Members: show, Drill: rehearse, Show: shown, Differ: differ}
 }
 
 // told puts together what the part goes by.
-func told(f *operator.Fleet, name string, keys []members.Key) gossip.Told {
+func told(f *operator.Fleet, name, serves string, keys []members.Key) gossip.Told {
 	if f.Name != "" {
 		name = f.Name
 	}
-	return gossip.Told{Name: members.Name(name), Cluster: f.Cluster, Listen: f.Listen, Advertise: f.Advertise, Roles: f.Roles, Zone: f.Zone, Release: f.Release,
+	if f.Serves != "" {
+		serves = f.Serves
+	}
+	return gossip.Told{Name: members.Name(name), Cluster: f.Cluster, Listen: f.Listen, Advertise: f.Advertise, Serves: serves, Roles: f.Roles, Zone: f.Zone, Release: f.Release,
 		Capacity: f.Capacity, Warm: f.Warm, Keys: keys, Probe: f.Probe, Rate: f.Rate, Watch: f.Watch, Leaves: f.Leaves, Members: f.Told}
 }
 
 // join brings an instance into its fleet.
 func join(in *keep.Instance, config keep.Told, o *life.Operated) (func(*life.Operated), error) {
-	part, err := gossip.New(told(&o.File.Fleet, config.Name, o.ClusterKeys), &instance{in}, config.Seed)
+	part, err := gossip.New(told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys), &instance{in}, config.Seed)
 	if err != nil {
 		return nil, err
 	}
 	in.Attach(part)
 	slog.Info("fleet", "name", string(part.View().Self.Name), "listen", o.File.Fleet.Listen, "seeds", len(o.File.Fleet.Told.Seeds), "keys", len(o.ClusterKeys))
-	return func(o *life.Operated) { part.Put(told(&o.File.Fleet, config.Name, o.ClusterKeys)) }, nil
+	return func(o *life.Operated) { part.Put(told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys)) }, nil
 }
 
 // instance speaks for an instance: what it says of itself comes from its core's loop.
@@ -62,8 +69,70 @@
 	})
 }
 
+func (i *instance) Load(then func(float64)) {
+	i.in.Hand(func() {
+		if l := i.in.Load(); l.Held+l.Running > 0 {
+			then(float64(l.Held + l.Running))
+		} else {
+			then(spread.Idle(l.Idle))
+		}
+	})
+}
+
 func (i *instance) Fenced() { i.in.Hand(i.in.Leave) }
 
+// pass runs a relay.
+func pass(operated, format string) error {
+	return relays.Live(os.Getenv("RELAY_CONFIG"), operated, format, func(config keep.Told, o *life.Operated) (*relay.Relay, func(*life.Operated), error) {
+		fleet := o.File.Fleet
+		fleet.Roles = fleet.Roles&^members.Instance | members.Relay
+		speaks := &relaying{}
+		part, err := gossip.New(told(&fleet, config.Name, config.Listen, o.ClusterKeys), speaks, config.Seed)
+		if err != nil {
+			return nil, nil, err
+		}
+		r, err := relay.Open(config, o.File.Relay.Told, func(name members.Name, then func(float64, time.Duration)) {
+			part.Hand(func() { part.Ask(name, then) })
+		})
+		if err != nil {
+			return nil, nil, err
+		}
+		speaks.r = r
+		// Views come by the dozen a second; a tenth of one late is far less than they are old.
+		var waits atomic.Bool
+		part.Subscribe(func(*members.View) {
+			if waits.CompareAndSwap(false, true) {
+				r.Hand(func() {
+					r.At(r.Now()+100*time.Millisecond, func() {
+						waits.Store(false)
+						r.See(part.View())
+					})
+				})
+			}
+		})
+		r.Attach(part)
+		slog.Info("fleet", "name", string(part.View().Self.Name), "listen", fleet.Listen, "seeds", len(fleet.Told.Seeds), "keys", len(o.ClusterKeys))
+		return r, func(o *life.Operated) {
+			f := o.File.Fleet
+			f.Roles = fleet.Roles
+			part.Put(told(&f, config.Name, config.Listen, o.ClusterKeys))
+		}, nil
+	})
+}
+
+// relaying speaks for a relay.
+type relaying struct{ r *relay.Relay }
+
+func (p *relaying) Report(then func(gossip.Report)) {
+	p.r.Hand(func() {
+		l := p.r.Load()
+		then(gossip.Report{Ready: l.Up, Leaving: l.Leaving, Facts: []members.Fact{{Key: "passing", Value: float64(l.Running)}}})
+	})
+}
+
+func (p *relaying) Load(then func(float64)) { p.r.Hand(func() { then(float64(p.r.Load().Running)) }) }
+func (p *relaying) Fenced()                 { p.r.Hand(p.r.Leave) }
+
 // show prints how a process sees its fleet, and how far others' views are from its.
 func show(f operator.Fleet, against []string, asJSON bool, out io.Writer) error {
 	s, err := gossip.Watch(f.Watch, gossip.Whole)
--- a/internal/drill/script.go
+++ b/internal/drill/script.go
@@ -69,13 +69,17 @@
 }
 
 func pick(g operator.Group, d *operator.Drill, but []int, chance *rand.Rand) (all []int) {
-	everybody := make([]int, d.Processes)
+	everybody := make([]int, d.Processes+d.Relays)
 	for i := range everybody {
 		everybody[i] = i
 	}
 	switch g.Kind {
 	case "all":
 		return everybody
+	case "instances":
+		return everybody[:d.Processes]
+	case "relays":
+		return everybody[d.Processes:]
 	case "rest":
 		return slices.DeleteFunc(everybody, func(i int) bool { return slices.Contains(but, i) })
 	case "zone", "release":
@@ -85,7 +89,7 @@
 			}
 		}
 	case "process":
-		all = []int{min(g.Count, d.Processes-1)}
+		all = []int{min(g.Count, d.Processes+d.Relays-1)}
 	case "first":
 		all = everybody[:g.Count]
 	case "draw":
--- a/internal/fleet/gossip/codec.go
+++ b/internal/fleet/gossip/codec.go
@@ -16,6 +16,8 @@
 const (
 	kindBulletin byte = 'b'
 	kindFenced   byte = 'f'
+	kindQuery    byte = 'q'
+	kindWord     byte = 'w'
 	headSize          = 5
 )
 
@@ -48,6 +50,7 @@
 	Release     string  `codec:"e"`
 	Capacity    float64 `codec:"c"`
 	WarmMS      int64   `codec:"w"`
+	Serves      string  `codec:"a"`
 }
 
 type bulletin struct {
@@ -68,6 +71,19 @@
 	HoldsMS int64   `codec:"h"`
 }
 
+// query asks a member how it stands; word is the answer.
+type query struct {
+	Nonce uint64 `codec:"n"`
+	To    string `codec:"t"` // the life that is asked
+	Who   string `codec:"w"` // the life that asks, and where it is reached
+	Addr  string `codec:"a"`
+}
+
+type word struct {
+	Nonce uint64  `codec:"n"`
+	Load  float64 `codec:"l"`
+}
+
 // fenced tells a life that a later one has its name.
 type fenced struct {
 	Name        string `codec:"n"`
@@ -107,7 +123,7 @@
 }
 
 func packClaim(c members.Claim) []byte {
-	return pack('c', claim{uint64(c.Incarnation), uint8(c.Roles), c.Zone, c.Release, c.Capacity, c.Warm.Milliseconds()})[headSize:]
+	return pack('c', claim{uint64(c.Incarnation), uint8(c.Roles), c.Zone, c.Release, c.Capacity, c.Warm.Milliseconds(), c.Serves})[headSize:]
 }
 
 // readClaim reads what a member says of itself beside its name and address.
@@ -120,10 +136,10 @@
 	if err := unpack(meta, &w); err != nil {
 		return c, err
 	}
-	if len(w.Zone) > longestName || len(w.Release) > longestName || !(w.Capacity > 0 && w.Capacity <= 1e6) || w.WarmMS < 0 || w.WarmMS > 3_600_000 {
+	if len(w.Serves) > longestName || len(w.Zone) > longestName || len(w.Release) > longestName || !(w.Capacity > 0 && w.Capacity <= 1e6) || w.WarmMS < 0 || w.WarmMS > 3_600_000 {
 		return c, errTold
 	}
-	return members.Claim{Name: id.Name, Life: id.Life, Incarnation: members.Incarnation(w.Incarnation), Addr: addr, Roles: members.Roles(w.Roles),
+	return members.Claim{Name: id.Name, Life: id.Life, Incarnation: members.Incarnation(w.Incarnation), Addr: addr, Serves: w.Serves, Roles: members.Roles(w.Roles),
 		Zone: w.Zone, Release: w.Release, Capacity: w.Capacity, Warm: time.Duration(w.WarmMS) * time.Millisecond}, nil
 }
 
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -29,6 +29,7 @@
 	Cluster   string // which fleet; others are not heard
 	Listen    string // ip:port, UDP and TCP
 	Advertise string // where others reach it; empty: where it listens
+	Serves    string // where the process takes ops, empty if it takes none
 	Roles     members.Roles
 	Zone      string
 	Release   string
@@ -53,6 +54,8 @@
 type Process interface {
 	// Report has then called with how the process stands.
 	Report(then func(Report))
+	// Load has then called with what it has in hand, or under 0 for how long it has had nothing (spread.Idle).
+	Load(then func(float64))
 	// Fenced tells that a later life has the name.
 	Fenced()
 }
@@ -91,7 +94,9 @@
 	began    time.Time
 	mu       sync.Mutex
 	heard    map[string]struct{} // who was heard since the last look
-	left     sync.Once           // the library can't be left twice
+	asked    map[uint64]*asking  // queries that no word has come to
+	nonce    uint64
+	left     sync.Once // the library can't be left twice
 }
 
 // said is our last bulletin as it goes out, with when it was written.
@@ -119,11 +124,11 @@
 	if _, err := rand.Read(life[:]); err != nil {
 		return nil, err
 	}
-	self := members.Claim{Name: told.Name, Life: members.Life(binary.BigEndian.Uint64(life[:])), Addr: told.Advertise, Roles: told.Roles,
+	self := members.Claim{Name: told.Name, Life: members.Life(binary.BigEndian.Uint64(life[:])), Addr: told.Advertise, Serves: told.Serves, Roles: told.Roles,
 		// A start by the clock is mostly above the life before; where the clock went back, the number is learnt (members.Table).
 		Incarnation: members.Incarnation(max(1, time.Now().UnixMilli())),
 		Zone:        told.Zone, Release: told.Release, Capacity: told.Capacity, Warm: told.Warm}
-	p := &Part{Loop: loop.New(1 << 14), began: time.Now(), heard: map[string]struct{}{}, told: told, process: process, lines: &lines{count: map[string]uint64{}},
+	p := &Part{Loop: loop.New(1 << 14), began: time.Now(), heard: map[string]struct{}{}, asked: map[uint64]*asking{}, told: told, process: process, lines: &lines{count: map[string]uint64{}},
 		chance: mathrand.New(mathrand.NewPCG(seed, uint64(self.Life))), calls: make(chan string, 1), closed: make(chan struct{}), readyAt: -1, steps: map[string]uint64{}}
 	p.table = members.New(self, told.Members, 0)
 	p.view.Store(p.table.View())
@@ -202,6 +207,11 @@
 	p.mu.Unlock()
 	p.table.Look(p.Now())
 	p.net.muted.Store(p.table.Deaf())
+	for nonce, a := range p.asked {
+		if p.Now()-a.at > time.Second {
+			delete(p.asked, nonce)
+		}
+	}
 	p.after()
 	p.tally.Rest(p.Wall(), func(step string, more int) { slog.Info("members", "step", step, "more", more) })
 	if !p.Ended() {
@@ -335,6 +345,26 @@
 	}
 }
 
+// asking is a query under way.
+type asking struct {
+	at   time.Duration
+	then func(load float64, age time.Duration)
+}
+
+// Ask asks a member how it stands, by one datagram; then is called on the part's loop if a word comes. What does not come within a second
+// is not waited for.
+func (p *Part) Ask(name members.Name, then func(load float64, age time.Duration)) {
+	const most = 1024 // Danger: a fleet that answers nobody; so many are more than a relay asks in a second
+	m, known := p.table.View().Get(name)
+	if !known || len(p.asked) >= most {
+		return
+	}
+	p.nonce++
+	p.asked[p.nonce] = &asking{p.Now(), then}
+	b := pack(kindQuery, query{p.nonce, m.ID().String(), p.table.Self().ID().String(), p.table.Self().Addr})
+	_ = p.list.SendToAddress(memberlist.Address{Addr: m.Addr, Name: m.ID().String()}, b)
+}
+
 // Put takes values that were told anew: keys, seeds and times. What it listens on and is called holds from the next start.
 func (p *Part) Put(told Told) {
 	p.Hand(func() {
@@ -540,6 +570,22 @@
 				p.queue.QueueBroadcast(&passing{of: x.ID, s: &said{append([]byte(nil), b...), time.Now().Add(-age - under)}})
 				p.after()
 			}
+		case kindQuery:
+			var q query
+			if err = unpack(body, &q); err == nil && q.To == p.table.Self().ID().String() {
+				p.process.Load(func(load float64) {
+					b := pack(kindWord, word{q.Nonce, load})
+					p.Hand(func() { _ = p.list.SendToAddress(memberlist.Address{Addr: q.Addr, Name: q.Who}, b) })
+				})
+			}
+		case kindWord:
+			var w word
+			if err = unpack(body, &w); err == nil {
+				if a := p.asked[w.Nonce]; a != nil { // any other is late, or nobody's
+					delete(p.asked, w.Nonce)
+					a.then(w.Load, (p.Now()-a.at)/2)
+				}
+			}
 		case kindFenced:
 			var x fenced
 			if err = unpack(body, &x); err == nil && members.Name(x.Name) == p.told.Name {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,8 +55,9 @@
 	Cores   float64 // of the runtime
 	Held    int     // ops in hand that do not run
 	Running int
-	Room    int     // ops that there is memory for beside those
-	Signal  float64 // what the module last had ride on answers, under 0 before it has
+	Room    int           // ops that there is memory for beside those
+	Idle    time.Duration // for how long nothing has been in hand
+	Signal  float64       // what the module last had ride on answers, under 0 before it has
 }
 
 // Front is one that works beside the core's loop.
--- a/internal/keep/door.go
+++ b/internal/keep/door.go
@@ -2,7 +2,6 @@
 
 import (
 	"lanewheel/choice"
-	"lanewheel/internal/certs"
 	"lanewheel/internal/front"
 	"lanewheel/internal/identity"
 	"lanewheel/internal/rights"
@@ -57,56 +56,6 @@
 	in.release(o)
 }
 
-// proven hears that a handshake is over.
-func (c *caller) proven(proof any) {
-	c.used = c.in.Now()
-	c.badge.Proof, _ = proof.(*certs.Proof)
-	if c.parting > 0 { // what it was told before could not be sent
-		c.conn.GoAway()
-	}
-}
-
-// bar takes nothing more from a connection whose certificate was taken back. What was read gets its answer; the connection
-// ends with the last one.
-func (c *caller) bar(code string) {
-	if c.barred != "" || c.dying != "" {
-		return
-	}
-	c.barred = code
-	c.part()
-	c.leaveIfBarred()
-}
-
-func (c *caller) leaveIfBarred() {
-	if c.barred == "" || len(c.open) > 0 || c.checks > 0 || c.dying != "" {
-		return
-	}
-	// The answer that is being sent goes before the close.
-	c.in.At(c.in.Now(), func() {
-		if len(c.open) == 0 && c.dying == "" {
-			c.close(c.barred)
-		}
-	})
-}
-
-// looksAtOnce is how many connections are looked at again in one sweep after keys, authorities or lists have changed: a
-// chain takes a tenth of a millisecond to follow. Every op is looked at besides.
-const looksAtOnce = 64
-
-// sweepDoor has connections end that nothing is asked on and whose certificates no longer count.
-func (in *Instance) sweepDoor() {
-	in.door.Sweep()
-	looks := 0
-	for _, c := range in.stubs {
-		if looks < looksAtOnce && c.dying == "" && in.door.Old(&c.badge) {
-			looks++
-			if why := in.door.Standing(&c.badge); why != "" {
-				c.bar(string(why))
-			}
-		}
-	}
-}
-
 // Admit puts what an operator's file says of callers in force, as it was read anew.
 func (in *Instance) Admit(p *identity.Parts) {
 	if in.door == nil || p == nil {
--- a/internal/keep/health.go
+++ b/internal/keep/health.go
@@ -16,18 +16,13 @@
 // well tells whether a check is answered good: never before the runtime has come up.
 func (in *Instance) well() bool { return in.desk != nil && in.health.good }
 
-// check answers a health check, a deep one by work unless the module has said to answer from its state.
-func (in *Instance) check(c *caller, n uint32, deep bool) {
-	c.used = in.Now()
+// Check is stubs.Core: a deep one goes by work unless the module has said to answer from its state.
+func (in *Instance) Check(deep bool, then func(good bool)) {
 	if !deep || in.health.fromState || !in.well() || !in.runtime.synced {
-		c.conn.Checked(n, in.well() && (in.runtime.synced || !deep || in.health.fromState), in.with())
+		then(in.well() && (in.runtime.synced || !deep || in.health.fromState))
 		return
 	}
-	c.checks++
-	in.selftest(func(good bool) {
-		c.checks--
-		c.conn.Checked(n, good && in.well(), in.with())
-	})
+	in.selftest(func(good bool) { then(good && in.well()) })
 }
 
 // selftest has the runtime do the work of a check. One that does not return in a second is bad.
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -13,6 +13,7 @@
 	"lanewheel/internal/identity"
 	"lanewheel/internal/loop"
 	"lanewheel/internal/rights"
+	"lanewheel/internal/stubs"
 	"lanewheel/internal/wire"
 )
 
@@ -45,11 +46,8 @@
 	kinds   map[choice.OpType]time.Duration // the op timeouts of those that were told
 	tenants map[choice.TenantID]bool        // those that were told
 
-	swept time.Duration // when the connections were last looked through
-
 	ops   map[choice.OpID]*op
-	stubs map[*wire.Stub]*caller
-	idle  time.Duration // how long an unused connection may stay, as last said
+	stubs *stubs.Front
 
 	runtime  link
 	gauges   map[string]float64 // the last known
@@ -63,16 +61,15 @@
 	running int // of them
 
 	fronts  []front.Front
+	emptied time.Duration // when the last op in hand was over
 	early   time.Duration // see Now
 	leaving bool          // it was told to go
-	parting bool          // and asks all connections to
 }
 
 // Open makes an instance that listens and looks for its runtime.
 func Open(told Told) (*Instance, error) {
 	buffers := int(told.MemoryMB*(1<<20)) / wire.BufferSize
-	in := &Instance{Loop: loop.New(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{},
-		stubs: map[*wire.Stub]*caller{}, idle: span(told.Facts, "connections idle")}
+	in := &Instance{Loop: loop.New(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{}}
 	in.health.good = true
 	in.kinds, in.tenants = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}
 	for _, kind := range list(told.Facts, "op types") {
@@ -88,12 +85,17 @@
 	in.most = buffers / 4
 	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed. An eighth
 	// of the memory is for answers that nobody reads.
-	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: in.accept, Crowded: in.makeRoom,
+	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: func(l *wire.Link) { in.stubs.Accept(l) }, Crowded: func() { in.stubs.MakeRoom() },
 		Most: int64(told.Sockets) * 5 / 8, Unread: int64(told.MemoryMB*(1<<20)) / 8}
 	if told.Callers != nil {
 		in.door = identity.New(*told.Callers, in.Hand, func() (time.Duration, time.Time) { return in.Now(), in.Wall() })
 		in.net.Tokens.Store(told.Callers.Keys != nil)
 	}
+	var door stubs.Door // nil, not a door that is nil
+	if in.door != nil {
+		door = in.door
+	}
+	in.stubs = stubs.New(in, in.Loop, in.net, door, span(told.Facts, "connections idle"))
 	if err := in.net.Start(told.Listen); err != nil {
 		return nil, err
 	}
@@ -107,7 +109,7 @@
 	in.database.init(in)
 	in.Hand(func() {
 		in.connect()
-		in.sweepConnections()
+		in.stubs.Sweep()
 		in.reports()
 	})
 	return in, nil
@@ -185,11 +187,30 @@
 	}
 }
 
+// Owes is stubs.Core: who is owed the answer of an op in hand.
+func (in *Instance) Owes(id string) front.Owed {
+	if o := in.ops[choice.OpID(id)]; o != nil {
+		return o.owed
+	}
+	return nil
+}
+
+// With is stubs.Core.
+func (in *Instance) With() front.With { return in.with() }
+
 // Load is front.Core: how the instance stands.
 func (in *Instance) Load() front.Load {
 	cores, _ := in.told.Facts["cores"].(float64)
 	return front.Load{Up: in.desk != nil && in.runtime.synced, Leaving: in.leaving, Well: in.well(), Cores: cores,
-		Held: len(in.ops) - in.running, Running: in.running, Room: in.most - len(in.ops), Signal: in.say}
+		Held: len(in.ops) - in.running, Running: in.running, Room: in.most - len(in.ops), Signal: in.say, Idle: in.idle()}
+}
+
+// idle is how long nothing has been in hand.
+func (in *Instance) idle() time.Duration {
+	if len(in.ops) > 0 {
+		return 0
+	}
+	return in.Loop.Now() - in.emptied
 }
 
 // admit hands an op to the module. before is the op as it waited at the door, nil if it did not.
@@ -287,6 +308,9 @@
 		return
 	}
 	delete(in.ops, o.id)
+	if len(in.ops) == 0 {
+		in.emptied = in.Loop.Now()
+	}
 	in.pool.Give(o.body)
 	o.body = nil
 	if in.door != nil {
@@ -371,7 +395,7 @@
 	in.health.good, in.health.fromState = good, fromState
 }
 func (in *Instance) Signal(level float64)       { in.say = level }
-func (in *Instance) IdleFor(span time.Duration) { in.idle = span }
+func (in *Instance) IdleFor(span time.Duration) { in.stubs.IdleFor(span) }
 func (in *Instance) Note(line string)           { slog.Info("note", "text", line) }
 
 func (in *Instance) Wake(at time.Duration, then func(map[string]float64)) {
--- a/internal/keep/leave.go
+++ b/internal/keep/leave.go
@@ -53,11 +53,8 @@
 		in.door.Stop()
 	}
 	in.net.Deafen()
-	for _, c := range in.stubs {
-		c.part()
-	}
 	// Time for those to be accepted that had connected before; they are asked to go when they show up.
-	in.parting = true
+	in.stubs.Part()
 	in.At(in.Now()+10*time.Millisecond, func() {
 		in.net.Shut()
 		in.partWhenEmpty(last)
@@ -65,11 +62,9 @@
 }
 
 func (in *Instance) partWhenEmpty(last time.Duration) {
-	if len(in.stubs) == 0 && !slices.ContainsFunc(in.fronts, func(f front.Front) bool { return !f.Closed() }) || in.Now() >= last {
-		for _, c := range in.stubs {
-			c.close("stopped")
-		}
-		slog.Info("stopped", "connections", len(in.stubs), "ops", len(in.ops))
+	if in.stubs.Len() == 0 && !slices.ContainsFunc(in.fronts, func(f front.Front) bool { return !f.Closed() }) || in.Now() >= last {
+		in.stubs.Stop()
+		slog.Info("stopped", "connections", in.stubs.Len(), "ops", len(in.ops))
 		in.Over()
 		return
 	}
--- a/internal/life/callers.go
+++ b/internal/life/callers.go
@@ -170,13 +170,16 @@
 	return &wire.Secure{Listen: t.Listen, Config: server.Load, Most: int64(t.Handshakes), Rate: t.Rate}
 }
 
+// Fixed tells what differs between two files that holds from the next start.
+func Fixed(o, before *Operated) error { return o.fixed(before) }
+
 // fixed tells what differs between two files that holds from the next start. Danger: half of a change in force.
 func (o *Operated) fixed(before *Operated) error {
 	of := func(o *Operated) map[string]string {
 		t := &o.File.TLS
 		return map[string]string{"callers": strconv.FormatBool(o.Callers != nil), "tls.listen": t.Listen,
 			"tls.handshakes": strconv.Itoa(t.Handshakes), "tls.handshake-rate": fmt.Sprint(t.Rate), "log.format": o.File.Log.Format, "amqp": o.File.AMQP.Fixed(),
-			"fleet": fixedFleet(&o.File.Fleet)}
+			"fleet": fixedFleet(&o.File.Fleet), "relay": fmt.Sprint(o.File.Relay)}
 	}
 	is, was := of(o), of(before)
 	for _, name := range slices.Sorted(maps.Keys(is)) {
--- /dev/null
+++ b/internal/life/relays/relays.go
@@ -0,0 +1,75 @@
+// Package relays is the start and the stop of a relay.
+package relays
+
+import (
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"lanewheel/internal/fault"
+	"lanewheel/internal/keep"
+	"lanewheel/internal/life"
+	"lanewheel/internal/logline"
+	"lanewheel/internal/relay"
+)
+
+// Join brings a relay into its fleet: it gives the relay, which listens, and what takes an operator's file that was read anew.
+type Join func(config keep.Told, o *life.Operated) (r *relay.Relay, reload func(*life.Operated), err error)
+
+// Live starts the relay that the configuration at path and the operator's file tell of, and passes ops on until it is told to go.
+func Live(path, operated, format string, join Join) error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP) // before all else: untold, either would end us
+	logline.Start(os.Stderr, format)
+	config, err := life.Tell(path)
+	if err != nil {
+		return err
+	}
+	with, err := life.Operate(operated)
+	if err != nil {
+		return err
+	}
+	if !with.File.Fleet.On || !with.File.Relay.On {
+		return fault.List{{File: operated, Want: "wants the sections [fleet] and [relay]"}}
+	}
+	if format == "" {
+		logline.Start(os.Stderr, with.File.Log.Format)
+	}
+	// One processor more than cores: the gossip's sockets wait elsewhere than in the poller, as a further front's of an instance.
+	runtime.GOMAXPROCS(int(math.Ceil(config.Cores)) + 1)
+	debug.SetMemoryLimit(int64(config.MemoryMB * (1 << 19)))
+	r, reload, err := join(config, &with)
+	if err != nil {
+		return err
+	}
+	slog.Info("listening", "name", config.Name, "addr", config.Listen, "relay", true)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGTERM {
+				r.Hand(r.Leave)
+				continue
+			}
+			// A file that is being written may be wrong for a moment: the old one holds, and the next notice reads it again.
+			again, err := life.Operate(operated)
+			if err == nil {
+				err = life.Fixed(&again, &with)
+			}
+			if err != nil {
+				slog.Warn("configuration-kept", "err", err)
+				continue
+			}
+			with = again
+			reload(&again)
+			slog.Info("operated", "file", operated)
+		}
+	}()
+	r.Serve()
+	// The last answers lie in the kernel's hands by now; a moment for the gossip's last word.
+	time.Sleep(10 * time.Millisecond)
+	return nil
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -88,6 +88,7 @@
 	Incarnation Incarnation
 	Life        Life
 	Addr        string // where its gossip is reached
+	Serves      string // where it takes ops; empty for one that takes none
 	Roles       Roles
 	Zone        string
 	Release     string
@@ -196,6 +197,9 @@
 	return 0, 0, false
 }
 
+// Cold is how long a member still has to its full pace.
+func (m Member) Cold(now time.Duration) time.Duration { return max(0, m.warmAt-now) }
+
 // Bulletin gives the last one that a member published, less what it said to stand for, and how old it is.
 func (m Member) Bulletin(now time.Duration) (b Bulletin, age time.Duration) {
 	return Bulletin{ID: m.ID(), Incarnation: m.Incarnation, Seq: m.Seq, Ready: m.ready, ReadyFor: m.fit, Leaving: m.Why == Said, Digest: m.digest, Facts: m.Facts}, now - m.Spoke
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -20,6 +20,7 @@
 	Cluster   string
 	Listen    string
 	Advertise string
+	Serves    string // where others reach what it serves; empty: where it listens for stubs
 	Roles     members.Roles
 	Zone      string
 	Release   string
@@ -53,6 +54,8 @@
 			s.wrong("roles", bad, "wants some of instance, relay, steward, below")
 		}
 	}
+	s.text("serves", &f.Serves)
+	s.address("serves", f.Serves)
 	s.text("zone", &f.Zone)
 	s.text("release", &f.Release)
 	const longest = 64 // bytes: what a member says of itself goes into one packet
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -36,3 +36,23 @@
 	// op.ini:8: fleet.cut-off-at: is "0.9", wants thin-at or less
 	// keys:3: stands there already (and 1 more)
 }
+
+// The shipped file of a relay says what holds without it.
+func Example_relay() {
+	text, err := os.ReadFile("../../deploy/relay.ini")
+	if err != nil {
+		panic(err)
+	}
+	shipped, err := Parse("relay.ini", text)
+	bare, _ := Parse("x", []byte("[relay]\n[fleet]\nlisten = 127.0.0.1:7947\nkeys = k\n"))
+	fmt.Println(err, shipped.Relay == bare.Relay)
+	_, err = Parse("x", []byte("[relay]\nway = best\nasks = many\n"))
+	for _, f := range err.(fault.List) {
+		fmt.Println(f)
+	}
+	// Output:
+	// <nil> true
+	// x:1: relay: wants a section [fleet], by which it knows the members
+	// x:2: relay.way: is "best", wants one of greedy, informed, least-open, random, round-robin, two-own, two-told
+	// x:3: relay.asks: is "many", wants a number from 0 to 16
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	TLS     TLS
 	AMQP    AMQP
 	Fleet   Fleet
+	Relay   Relay
 }
 
 // Callers is who may do what. It is on if the file has any section that speaks of callers.
@@ -87,6 +88,7 @@
 	f.TLS = r.tls()
 	f.AMQP = r.amqp()
 	f.Fleet = r.fleet()
+	f.Relay = r.relay(&f.Fleet)
 	f.Callers.On = f.Callers.On || f.Tokens.On || f.TLS.On
 	r.close("caller", "queue", "role")
 	return f, r.faults.Err()
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,294 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"lanewheel/choice"
+	"lanewheel/internal/keep"
+	"lanewheel/internal/members"
+	"lanewheel/internal/spread"
+	"lanewheel/internal/standin"
+)
+
+// below is a member by script: what it does with each op that comes is told by its type and how many came before.
+type below struct {
+	listener net.Listener
+	mu       sync.Mutex
+	did      []string
+}
+
+// script says what becomes of the nth op that comes to any member: ack, busy, last, fail, close, silent.
+type script struct {
+	mu    sync.Mutex
+	steps []string
+	trace []string
+	ids   map[string]bool
+	all   []*below
+}
+
+func (s *script) next(m int, what string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	step := "ack"
+	if len(s.steps) > 0 {
+		step, s.steps = s.steps[0], s.steps[1:]
+	}
+	s.trace = append(s.trace, what+" "+step)
+	return step
+}
+
+func (s *script) said() (all []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all, s.trace = s.trace, nil
+	return all
+}
+
+func (s *script) serve(m int, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			stub := standin.NewStub(c)
+			for {
+				v, err := stub.Next()
+				if err != nil {
+					return
+				}
+				parts := v.([]any)
+				if len(parts) == 3 {
+					s.next(m, fmt.Sprint(parts[1]))
+					continue
+				}
+				n := parts[1].(int)
+				params := parts[3].([]any)
+				id := fmt.Sprint(params[0].(map[string]any)["id"])
+				s.mu.Lock()
+				if s.ids[id] {
+					s.trace = append(s.trace, "an id twice")
+				}
+				s.ids[id] = true
+				s.mu.Unlock()
+				none := map[string]string{}
+				switch s.next(m, fmt.Sprint(parts[2])) {
+				case "ack":
+					stub.Send([]any{1, n, nil, []any{params[1], map[string]string{"say": "0.5"}}})
+				case "busy":
+					stub.Send([]any{1, n, []any{"Busy", map[string]string{"after": "70"}}, nil})
+				case "last":
+					stub.Send([]any{1, n, []any{"Busy", map[string]string{"last": "1"}}, nil})
+				case "fail":
+					stub.Send([]any{1, n, []any{"Failed", none}, nil})
+				case "close":
+					return
+				case "late":
+					time.Sleep(250 * time.Millisecond)
+					stub.Send([]any{1, n, nil, []any{params[1], none}})
+				}
+			}
+		}()
+	}
+}
+
+var opened int
+
+// open starts a relay before so many scripted members.
+func open(n int, steps ...string) (*Relay, *script, string) {
+	s := &script{steps: steps, ids: map[string]bool{}}
+	table := members.New(members.Claim{Name: "relay", Incarnation: 1, Life: 1}, members.Usual(), 0)
+	for i := range n {
+		l := standin.Must(net.Listen("tcp", "127.0.0.1:0"))
+		s.all = append(s.all, &below{listener: l})
+		go s.serve(i, l)
+		id := members.ID{Name: members.Name(fmt.Sprint("m", i)), Life: 1}
+		table.Claimed(members.Claim{Name: id.Name, Life: 1, Incarnation: 1, Roles: members.Instance, Serves: l.Addr().String(), Capacity: 2}, 0)
+		table.Told(members.Bulletin{ID: id, Seq: 1, Ready: true, ReadyFor: time.Minute}, 0, 0)
+	}
+	opened++
+	free := standin.Must(net.Listen("tcp", fmt.Sprintf("127.72.%d.%d:0", os.Getpid()%250, opened)))
+	listen := free.Addr().String()
+	free.Close()
+	roster := standin.NewRoster()
+	told := Told{Spread: spread.Usual(), Most: 100, Connections: 2, Unused: time.Minute, Grace: 500 * time.Millisecond, After: 90 * time.Millisecond}
+	told.Spread.Retry = 1
+	kind := func(name, repeats string) choice.Facts {
+		return choice.Facts{"name": name, "repeats": repeats, "op timeout": 3 * time.Second, "target latency": time.Second}
+	}
+	r, err := Open(keep.Told{Name: "relay", Listen: listen, Roster: roster.Addr(), Seed: 1, Stop: 1500 * time.Millisecond, Sockets: 256, MemoryMB: 64, Cores: 1,
+		Facts: choice.Facts{"op types": []choice.Facts{kind("view", "retryable"), kind("pay", "non-retryable")}}}, told, nil)
+	if err != nil {
+		panic(err)
+	}
+	go r.Serve()
+	r.Hand(func() { r.See(table.View()) })
+	return r, s, listen
+}
+
+// What becomes of one op by what members do with it: nacked, another is asked, under an id of its own; lost, one that may not run
+// twice has failed and is asked of nobody else; told to go nowhere else, it does not; whatever may have run is passed on as it is.
+func Example() {
+	for _, x := range []struct {
+		kind  string
+		steps []string
+	}{
+		{"pay", nil},
+		{"pay", []string{"busy", "ack"}},
+		{"view", []string{"busy", "busy", "busy", "ack"}},
+		{"view", []string{"last"}},
+		{"pay", []string{"close"}},
+		{"view", []string{"close", "ack"}},
+		{"view", []string{"fail"}},
+	} {
+		r, s, listen := open(4, x.steps...)
+		stub := standin.Dial(listen)
+		stub.Send(standin.Op(7, x.kind, standin.ID(1), []byte("body")))
+		a := standin.Must(stub.Answer())
+		fmt.Printf("%v: %q %q %v\n", s.said(), a.Error, a.Result, a.Fields)
+		stub.Close()
+		r.Hand(r.Over)
+	}
+	// Output:
+	// [pay ack]: "" "body" map[say:0.5]
+	// [pay busy pay ack]: "" "body" map[say:0.5]
+	// [view busy view busy view busy]: "Busy" "" map[after:70]
+	// [view last]: "Busy" "" map[last:1]
+	// [pay close]: "Failed" "" map[]
+	// [view close view ack]: "" "body" map[say:0.5]
+	// [view fail]: "Failed" "" map[]
+}
+
+// A member that swallows ops: answered at the due time all the same, the member is told, and its late answer is nobody's. A caller that
+// leaves: the member is told. A connection that is refused costs nothing: the next member has it.
+func Example_silent() {
+	r, s, listen := open(1, "late", "interrupt")
+	stub := standin.Dial(listen)
+	began := time.Now()
+	stub.Send(standin.Op(1, "pay", standin.ID(1), nil, "wait", "150"))
+	a := standin.Must(stub.Answer())
+	took := time.Since(began)
+	fmt.Println(a.N, a.Error, took > 140*time.Millisecond && took < 240*time.Millisecond)
+	standin.Until("the member to be told", func() bool { return len(s.said()) > 0 })
+	time.Sleep(200 * time.Millisecond) // its answer comes meanwhile
+	stub.Send(standin.Op(2, "view", standin.ID(2), []byte("x")))
+	a = standin.Must(stub.Answer())
+	fmt.Println(a.N, a.Error == "")
+	s.mu.Lock()
+	s.steps = []string{"silent"}
+	s.mu.Unlock()
+	s.said()
+	stub.Send(standin.Op(3, "view", standin.ID(3), nil))
+	standin.Until("it to be there", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.trace) == 1 })
+	stub.Send([]any{2, "interrupt", []any{3}})
+	standin.Until("the member to be told", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.trace) == 2 })
+	fmt.Println(s.said())
+	stub.Close()
+	r.Hand(r.Over)
+
+	r, s, listen = open(3)
+	for _, b := range s.all[:2] {
+		b.listener.Close()
+	}
+	stub = standin.Dial(listen)
+	acked := 0
+	for n := range 20 {
+		stub.Send(standin.Op(n+1, "pay", standin.ID(n+1), nil))
+		if a := standin.Must(stub.Answer()); a.Error == "" {
+			acked++
+		}
+	}
+	fmt.Println(acked)
+	stub.Close()
+	r.Hand(r.Over)
+	// Output:
+	// 1 Failed true
+	// 2 true
+	// [view silent interrupt ack]
+	// 20
+}
+
+// Nobody is there: turned away at once, with a time to come back. One id twice, a type that is not known: as at an instance. A notice to
+// leave: within the grace ops are passed on, behind it turned away, and all is answered.
+func Example_leaving() {
+	r, _, listen := open(0)
+	stub := standin.Dial(listen)
+	stub.Send(standin.Op(1, "pay", standin.ID(1), nil))
+	fmt.Println(stub.Hear())
+	stub.Close()
+	r.Hand(r.Over)
+
+	r, s, listen := open(2, "silent")
+	stub = standin.Dial(listen)
+	stub.Send(standin.Op(1, "view", standin.ID(1), nil, "wait", "900"))
+	standin.Until("it to be there", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.trace) == 1 })
+	other := standin.Dial(listen)
+	other.Send(standin.Op(1, "view", standin.ID(1), nil))
+	fmt.Println(other.Hear())
+	other.Send(standin.Op(2, "what", standin.ID(2), nil))
+	fmt.Println(other.Hear())
+	r.Hand(r.Leave)
+	fmt.Println(other.Hear()) // goaway
+	other.Send(standin.Op(3, "view", standin.ID(3), nil))
+	fmt.Println(other.Hear())
+	other.Close()
+	time.Sleep(600 * time.Millisecond) // past the grace
+	other = standin.Dial(listen)
+	fmt.Println(other.Hear())
+	other.Send(standin.Op(4, "view", standin.ID(4), nil))
+	fmt.Println(other.Hear())
+	other.Close()
+	fmt.Println(stub.Hear(), stub.Hear())
+	standin.Until("its end", func() bool {
+		over := make(chan bool, 1)
+		r.Hand(func() { over <- false })
+		select {
+		case <-over:
+			return false
+		case <-time.After(100 * time.Millisecond):
+			return true
+		}
+	})
+	// Output:
+	// ['\x01' '\x01' ["Busy" map["after":"90"]] <nil>]
+	// ['\x01' '\x01' ["Busy" map[]] <nil>]
+	// ['\x01' '\x02' ["Failed" map[]] <nil>]
+	// ['\x02' "goaway" []]
+	// ['\x01' '\x03' <nil> ["" map["say":"0.5"]]]
+	// ['\x02' "goaway" []]
+	// ['\x01' '\x04' ["Busy" map[]] <nil>]
+	// ['\x02' "goaway" []] ['\x01' '\x01' ["Failed" map[]] <nil>]
+}
+
+// What comes next of an op, by what its try came to.
+func Example_next() {
+	told := spread.Usual()
+	told.Retry, told.Burst = 0, 1
+	for _, x := range []struct {
+		t            spread.Try
+		what         spread.Outcome
+		unsent, last bool
+	}{
+		{spread.Try{Due: time.Second, Tries: 1}, spread.Served, false, false},
+		{spread.Try{Due: time.Second, Tries: 1}, spread.Refused, false, false},
+		{spread.Try{Due: time.Second, Tries: 1}, spread.Refused, false, true},
+		{spread.Try{Due: 0, Tries: 1}, spread.Refused, false, false},
+		{spread.Try{Due: time.Second, Tries: 3}, spread.Refused, false, false},
+		{spread.Try{Due: time.Second, Tries: 1}, spread.Lost, false, false},
+		{spread.Try{Due: time.Second, Tries: 1, Repeats: true}, spread.Lost, false, false},
+		{spread.Try{Due: time.Second, Tries: 1}, spread.Lost, true, false},
+		{spread.Try{Due: time.Second, Tries: 1, Repeats: true}, spread.Failed, false, false},
+	} {
+		c := spread.New(told)
+		fmt.Print(c.Next(time.Millisecond, x.t, x.what, x.unsent, x.last) == spread.Again, " ")
+		if x.what == spread.Refused && !x.last && x.t.Due > 0 && x.t.Tries == 1 { // the budget is used up
+			fmt.Print(c.Next(time.Millisecond, x.t, x.what, false, false) == spread.Again, " ")
+		}
+	}
+	// Output: false true false false false false false true true false
+}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -223,6 +223,13 @@
 	c.stale = true
 }
 
+// Left notes that nobody waits any more for an op that was given to a member; that says nothing of it.
+func (c *Chooser) Left(n Name) {
+	if i, known := c.byName[n]; known {
+		c.all[i].open = max(0, c.all[i].open-1)
+	}
+}
+
 func (m *member) fade(now time.Duration, half time.Duration) {
 	left := math.Exp2(-float64(now-m.touched) / float64(half))
 	m.good, m.bad, m.touched = m.good*left, m.bad*left, now
--- a/internal/keep/stubs.go
+++ b/internal/stubs/stubs.go
@@ -1,20 +1,89 @@
-package keep
+// Package stubs is the front of client stubs on connections: it takes their ops to a core and their answers back, and ends the connections of
+// those that break the protocol, stay silent or are not used. It belongs to the core's loop, and asks nothing of an op.
+package stubs
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"lanewheel/choice"
+	"lanewheel/internal/certs"
 	"lanewheel/internal/front"
 	"lanewheel/internal/identity"
+	"lanewheel/internal/loop"
 	"lanewheel/internal/rights"
 	"lanewheel/internal/wire"
 )
 
+// Core is what this front needs beside what any front does.
+type Core interface {
+	front.Core
+	// Owes gives who is owed the answer of an op in hand, nil if none is.
+	Owes(id string) front.Owed
+	// Check has then called with whether all is well; deep asks whether work gets done.
+	Check(deep bool, then func(good bool))
+	// With is what rides on every answer.
+	With() front.With
+}
+
+// Door is who knows callers; nil where everybody may do everything.
+type Door interface {
+	Standing(*identity.Badge) rights.Reason
+	Old(*identity.Badge) bool
+	Sweep()
+}
+
+// Front is all connections of client stubs.
+type Front struct {
+	core    Core
+	loop    *loop.Loop
+	net     *wire.Net
+	door    Door
+	all     map[*wire.Stub]*caller
+	idle    time.Duration // how long an unused connection may stay, as last said
+	parting bool          // it asks all connections to go
+	swept   time.Duration // when the connections were last looked through
+}
+
+// New makes the front of a core whose loop and connections it shares. A nil door lets all in.
+func New(core Core, l *loop.Loop, net *wire.Net, door Door, idle time.Duration) *Front {
+	return &Front{core: core, loop: l, net: net, door: door, all: map[*wire.Stub]*caller{}, idle: idle}
+}
+
+// IdleFor says how long an unused connection may stay.
+func (f *Front) IdleFor(span time.Duration) { f.idle = span }
+
+// Len is how many connections there are.
+func (f *Front) Len() int { return len(f.all) }
+
+// Part asks all stubs to send nothing new here, also those that are accepted from now on.
+func (f *Front) Part() {
+	f.parting = true
+	for _, c := range f.all {
+		c.part()
+	}
+}
+
+// Stop ends all connections.
+func (f *Front) Stop() {
+	for _, c := range f.all {
+		c.close("stopped")
+	}
+}
+
+// check answers a health check.
+func (c *caller) check(n uint32, deep bool) {
+	c.used = c.in.loop.Now()
+	c.checks++
+	c.in.core.Check(deep, func(good bool) {
+		c.checks--
+		c.conn.Checked(n, good, c.in.core.With())
+	})
+}
+
 // caller is a client stub's connection with the ops that are open on it.
 type caller struct {
-	in      *Instance
+	in      *Front
 	conn    *wire.Stub
 	open    map[uint32]*asked
 	used    time.Duration // when something last came or went on it
@@ -27,8 +96,8 @@
 	barred  string // why nothing more is taken from it; it ends when its open ops are answered
 }
 
-// accept makes a new connection one of a client stub. It runs beside the owner loop.
-func (in *Instance) accept(l *wire.Link) {
+// Accept makes a new connection one of a client stub. It runs beside the owner loop.
+func (in *Front) Accept(l *wire.Link) {
 	s := l.Stub()
 	c := &caller{in: in, conn: s, open: map[uint32]*asked{}}
 	s.OnOp = func(n uint32, ask wire.Ask) {
@@ -38,25 +107,25 @@
 	s.OnInterrupt = func(n uint32) {
 		c.heard = true
 		if a := c.open[n]; a != nil {
-			in.Gone(a.op)
+			in.core.Gone(a.op)
 		}
 	}
 	s.OnCheck = func(n uint32, deep bool) {
 		if c.heard = true; c.dying == "" {
-			in.check(c, n, deep)
+			c.check(n, deep)
 		}
 	}
 	s.OnProven = c.proven
 	s.OnFault = c.fault
 	s.OnEnd = func(string) {
-		delete(in.stubs, s)
+		delete(in.all, s)
 		for _, n := range slices.Sorted(maps.Keys(c.open)) {
-			in.Gone(c.open[n].op)
+			in.core.Gone(c.open[n].op)
 		}
 	}
-	in.Hand(func() {
-		c.used = in.Now()
-		in.stubs[s] = c
+	in.loop.Hand(func() {
+		c.used = in.loop.Now()
+		in.all[s] = c
 		if in.parting {
 			c.part()
 		}
@@ -70,15 +139,15 @@
 		return
 	}
 	for _, n := range slices.Sorted(maps.Keys(c.open)) {
-		c.conn.Failed(n, c.in.with())
-		c.in.Gone(c.open[n].op)
+		c.conn.Failed(n, c.in.core.With())
+		c.in.core.Gone(c.open[n].op)
 	}
 	c.close(code)
 }
 
 // close ends a connection on which nothing is open.
 func (c *caller) close(code string) {
-	c.dying, c.used = code, c.in.Now()
+	c.dying, c.used = code, c.in.loop.Now()
 	c.conn.Close(code)
 }
 
@@ -98,15 +167,13 @@
 		c.fault("too-many-open")
 		return
 	}
-	if before := c.in.ops[choice.OpID(ask.ID)]; before != nil {
-		if a, is := before.owed.(*asked); is && a.c == c {
-			c.fault("op-twice")
-			return
-		}
+	if a, is := c.in.core.Owes(ask.ID).(*asked); is && a.c == c {
+		c.fault("op-twice")
+		return
 	}
 	a := &asked{c: c, n: n}
-	c.open[n], c.used = a, c.in.Now()
-	a.op = c.in.Enter(ask, &c.badge, a)
+	c.open[n], c.used = a, c.in.loop.Now()
+	a.op = c.in.core.Enter(ask, &c.badge, a)
 }
 
 // asked is an op that a stub's connection is owed the answer of: a front.Owed.
@@ -127,7 +194,7 @@
 	if a.c.open[a.n] == a {
 		delete(a.c.open, a.n)
 	}
-	a.c.used = a.c.in.Now()
+	a.c.used = a.c.in.loop.Now()
 	a.c.leaveIfBarred()
 }
 
@@ -138,9 +205,11 @@
 	strike := true
 	if with.Why != "" {
 		c.conn.Denied(a.n, with)
-		if standing := c.in.door.Standing(&c.badge); standing != "" {
-			c.bar(string(standing))
-			return
+		if c.in.door != nil {
+			if standing := c.in.door.Standing(&c.badge); standing != "" {
+				c.bar(string(standing))
+				return
+			}
 		}
 		strike = identity.Forged(rights.Reason(with.Why))
 	} else {
@@ -158,14 +227,14 @@
 // part asks a stub to send nothing new here.
 func (c *caller) part() {
 	if c.parting == 0 {
-		c.parting = max(c.in.Now(), 1)
+		c.parting = max(c.in.loop.Now(), 1)
 		c.conn.GoAway()
 	}
 }
 
-// sweepConnections asks those to go away that have been unused for as long as the module allows, and ends those on
+// Sweep, again and again, asks those to go away that have been unused for as long as the module allows, and ends those on
 // which nothing whole comes. Danger: connections by the hundred on which nothing is said, or half an op, fill the table.
-func (in *Instance) sweepConnections() {
+func (in *Front) Sweep() {
 	// How long a stub has to close after goaway; an op that crosses it comes within 50 ms.
 	const partingFor = 250 * time.Millisecond
 	// A message is 3 KiB at most and a stub opens a connection when it has one to send: many round trips of a poor
@@ -175,45 +244,45 @@
 	const handshakeFor = 3 * time.Second
 	const often = 100 * time.Millisecond
 	// Danger: a machine that stood still makes what came meanwhile look as if it had never come.
-	stood := in.Now()-in.swept > 5*often
-	in.swept = in.Now()
+	stood := in.loop.Now()-in.swept > 5*often
+	in.swept = in.loop.Now()
 	if in.door != nil {
 		in.sweepDoor()
 	}
-	for _, c := range in.stubs {
+	for _, c := range in.all {
 		switch {
 		case c.dying != "":
-			if in.Now()-c.used > time.Second { // it does not take the last answers either
+			if in.loop.Now()-c.used > time.Second { // it does not take the last answers either
 				c.conn.Cut()
 			}
-		case c.conn.Unfinished(in.Wall()) > patience && !stood:
+		case c.conn.Unfinished(in.loop.Wall()) > patience && !stood:
 			c.fault("unfinished")
 		case c.conn.Proves():
-			if in.Now()-c.used > handshakeFor && !stood {
+			if in.loop.Now()-c.used > handshakeFor && !stood {
 				c.close("handshake-slow")
 			}
 		case len(c.open) > 0 || c.checks > 0:
-		case !c.heard && in.Now()-c.used > patience && !stood:
+		case !c.heard && in.loop.Now()-c.used > patience && !stood:
 			c.close("silent")
-		case c.parting > 0 && in.Now()-max(c.parting, c.used) > partingFor:
+		case c.parting > 0 && in.loop.Now()-max(c.parting, c.used) > partingFor:
 			c.close("unused")
-		case c.parting == 0 && in.idle > 0 && in.Now()-c.used > in.idle:
+		case c.parting == 0 && in.idle > 0 && in.loop.Now()-c.used > in.idle:
 			c.part()
 		}
 	}
-	in.At(in.Now()+often, in.sweepConnections)
+	in.loop.At(in.loop.Now()+often, in.Sweep)
 }
 
-// makeRoom ends the connection that has been unused for longest, those on which nothing was ever said first. Danger:
+// MakeRoom ends the connection that has been unused for longest, those on which nothing was ever said first. Danger:
 // a table full of them, and stubs with ops that wait outside.
-func (in *Instance) makeRoom() {
+func (in *Front) MakeRoom() {
 	// Twice what an op may take to come that was sent before its stub saw the end; ten times that where ops have come.
 	const crossing, again = 100 * time.Millisecond, time.Second
 	var first *caller
 	proving, most := in.net.Proving()
 	onlyProving := proving >= most // there is room for connections, but for no more handshakes
-	for _, c := range in.stubs {
-		unused := in.Now() - c.used
+	for _, c := range in.all {
+		unused := in.loop.Now() - c.used
 		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || unused < crossing || c.heard && unused < again ||
 			onlyProving && !c.conn.Proves() {
 			continue
@@ -226,3 +295,53 @@
 		first.close("crowded")
 	}
 }
+
+// proven hears that a handshake is over.
+func (c *caller) proven(proof any) {
+	c.used = c.in.loop.Now()
+	c.badge.Proof, _ = proof.(*certs.Proof)
+	if c.parting > 0 { // what it was told before could not be sent
+		c.conn.GoAway()
+	}
+}
+
+// bar takes nothing more from a connection whose certificate was taken back. What was read gets its answer; the connection
+// ends with the last one.
+func (c *caller) bar(code string) {
+	if c.barred != "" || c.dying != "" {
+		return
+	}
+	c.barred = code
+	c.part()
+	c.leaveIfBarred()
+}
+
+func (c *caller) leaveIfBarred() {
+	if c.barred == "" || len(c.open) > 0 || c.checks > 0 || c.dying != "" {
+		return
+	}
+	// The answer that is being sent goes before the close.
+	c.in.loop.At(c.in.loop.Now(), func() {
+		if len(c.open) == 0 && c.dying == "" {
+			c.close(c.barred)
+		}
+	})
+}
+
+// looksAtOnce is how many connections are looked at again in one sweep after keys, authorities or lists have changed: a
+// chain takes a tenth of a millisecond to follow. Every op is looked at besides.
+const looksAtOnce = 64
+
+// sweepDoor has connections end that nothing is asked on and whose certificates no longer count.
+func (in *Front) sweepDoor() {
+	in.door.Sweep()
+	looks := 0
+	for _, c := range in.all {
+		if looks < looksAtOnce && c.dying == "" && in.door.Old(&c.badge) {
+			looks++
+			if why := in.door.Standing(&c.badge); why != "" {
+				c.bar(string(why))
+			}
+		}
+	}
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -37,6 +37,7 @@
 	Accept  func(*Link)     // hears, beside the owner loop, of each connection that was accepted
 	Crowded func()          // the owner's: a connection waits for room under Most
 	Most    int64           // accepted connections at a time
+	From    net.IP          // the address that we dial from; nil: any
 	Unread  int64           // past so many bytes, who leaves more than a few unread loses its connection
 
 	// Tokens tells whether stubs may bring tokens; else the field is passed over as others that are not known.
@@ -181,7 +182,11 @@
 	if queue == nil {
 		queue = make(chan func(), 1024) // more than there are descriptors for
 		n.dials[l.party] = queue
-		for range 4 {
+		workers := 4
+		if l.party == partyMember { // hundreds of them, and those of a lost zone hang until their time is up
+			workers = 32
+		}
+		for range workers {
 			go func() {
 				for next := range queue {
 					next()
@@ -191,7 +196,11 @@
 	}
 	queue <- func() {
 		// No keepalive: four system calls, and nothing stays open and silent here.
-		conn, err := (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}).Dial("tcp", addr)
+		d := net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}
+		if n.From != nil {
+			d.LocalAddr = &net.TCPAddr{IP: n.From}
+		}
+		conn, err := d.Dial("tcp", addr)
 		var c *nbio.Conn
 		if err == nil {
 			c, err = nbio.NBConn(conn)
