--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -111,7 +111,12 @@
 	mu.Lock()
 	broken = append(broken, fourRules(w, h, began, ended)...)
 	mu.Unlock()
-	r := record(w, h, events, differs, Row{Kind: "link", Name: sum.String(), Value: float64(sum.Datagrams)}, broken, figures, began)
+	r := record(w, h, events, differs, w.links.rows(func(i int) string {
+		if i < 0 {
+			return "a stranger"
+		}
+		return w.procs[i].name
+	}), broken, figures, began)
 	fmt.Fprintln(out, "the links carried", sum)
 	keep = len(broken) > 0
 	return r, nil
--- a/internal/drill/links.go
+++ b/internal/drill/links.go
@@ -311,6 +311,16 @@
 	return l.closed
 }
 
+// rows tells of each directed link what became of its traffic.
+func (l *links) rows(name func(int) string) (all []Row) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for link, c := range l.tally {
+		all = append(all, Row{Kind: "link", Process: name(link[0]), Name: name(link[1]), Outcome: c.String(), Value: float64(c.Bytes + c.StreamBytes)})
+	}
+	return all
+}
+
 // sum adds up what became of all that went over the links.
 func (l *links) sum() (s counts) {
 	l.mu.Lock()
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -226,7 +226,7 @@
 }
 
 // record puts together all that was seen.
-func record(w *world, h *history, events []Event, differs []Row, links Row, all []Violation, figures []Figure, began time.Time) (r Record) {
+func record(w *world, h *history, events []Event, differs, links []Row, all []Violation, figures []Figure, began time.Time) (r Record) {
 	ms := func(at time.Time) int64 { return at.Sub(began).Milliseconds() }
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -250,5 +250,5 @@
 	for _, f := range figures {
 		r = append(r, Row{0, "figure", "", f.Name, "", f.Value})
 	}
-	return append(r, links)
+	return append(r, links...)
 }
--- a/internal/spread/sim_test.go
+++ b/internal/spread/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -239,6 +240,9 @@
 	}
 	f.run(f.began + k.seconds)
 	slices.Sort(f.took)
+	if len(f.took) == 0 { // who sees the true state and not who is broken gives all to those
+		f.took = []float64{math.Inf(1)}
+	}
 	r.p99 = f.took[len(f.took)*99/100]
 	for _, t := range f.took {
 		if t > 8*f.mean {
