--- a/internal/amqp/part.go
+++ b/internal/amqp/part.go
@@ -13,6 +13,7 @@
 	"lanewheel/internal/intake"
 	"lanewheel/internal/logline"
 	"lanewheel/internal/loop"
+	"lanewheel/internal/watch"
 )
 
 // Told is what the operator's file tells of this front.
@@ -87,7 +88,7 @@
 // Start begins to consume.
 func (p *Part) Start() {
 	if p.told.Watch != "" {
-		p.watch(p.told.Watch)
+		watch.Serve(p.told.Watch, p.closed, p.show)
 	}
 	p.Hand(func() {
 		p.connect()
--- a/internal/amqp/watch.go
+++ b/internal/amqp/watch.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"log/slog"
 	"net"
-	"os"
 	"time"
 
 	"lanewheel/internal/intake"
@@ -43,37 +41,15 @@
 	return s
 }
 
-// watch answers each connection to a local socket with one snapshot, one after the other. Danger: who connects and does not read
-// would hold up the next, so each has a second.
-func (p *Part) watch(path string) {
-	_ = os.Remove(path) // one that an earlier life has left
-	l, err := net.Listen("unix", path)
-	if err != nil {
-		slog.Warn("no-watch", "err", err)
-		return
+// show answers one who asks.
+func (p *Part) show(c net.Conn) {
+	came := make(chan Snapshot, 1)
+	p.Hand(func() { came <- p.snapshot() })
+	select {
+	case s := <-came:
+		_ = json.NewEncoder(c).Encode(s)
+	case <-time.After(time.Second):
 	}
-	_ = os.Chmod(path, 0o600)
-	go func() {
-		<-p.closed
-		l.Close()
-	}()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.SetDeadline(time.Now().Add(time.Second))
-			came := make(chan Snapshot, 1)
-			p.Hand(func() { came <- p.snapshot() })
-			select {
-			case s := <-came:
-				_ = json.NewEncoder(c).Encode(s)
-			case <-time.After(time.Second):
-			}
-			c.Close()
-		}
-	}()
 }
 
 // Watch reads a snapshot from the socket of a running instance.
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -21,6 +21,7 @@
 	"lanewheel/internal/logline"
 	"lanewheel/internal/loop"
 	"lanewheel/internal/members"
+	"lanewheel/internal/watch"
 )
 
 // Told is what the part goes by.
@@ -185,7 +186,7 @@
 // Start begins to speak.
 func (p *Part) Start() {
 	if p.told.Watch != "" {
-		p.watch(p.told.Watch)
+		watch.Serve(p.told.Watch, p.closed, p.show)
 	}
 	go p.call()
 	p.Hand(func() {
--- a/internal/fleet/gossip/watch.go
+++ b/internal/fleet/gossip/watch.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"net"
-	"os"
 	"slices"
 	"time"
 
@@ -80,34 +78,8 @@
 	return s
 }
 
-// watch answers each connection to a local socket with one snapshot, one after the other. Danger: who connects and does not read
-// would hold up the next, so each has a second.
-func (p *Part) watch(path string) {
-	_ = os.Remove(path) // one that an earlier life has left
-	l, err := net.Listen("unix", path)
-	if err != nil {
-		slog.Warn("no-watch", "err", err)
-		return
-	}
-	_ = os.Chmod(path, 0o600)
-	go func() {
-		<-p.closed
-		l.Close()
-	}()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			p.show(c)
-			c.Close()
-		}
-	}()
-}
-
+// show answers one who asks.
 func (p *Part) show(c net.Conn) {
-	_ = c.SetDeadline(time.Now().Add(time.Second))
 	line, err := bufio.NewReaderSize(c, 16).ReadSlice('\n')
 	if err != nil {
 		return
