--- a/internal/members/table.go
+++ b/internal/members/table.go
@@ -32,8 +32,8 @@
 	Half  time.Duration // in which they count for half
 }
 
-// Usual is what holds without being told. The detector takes about 4 s at 100 members (docs/fleet.md), so that a death is known
-// in 5 and held for certain in 10; a process that stands still for 5 s is not given up.
+// Usual is what holds without being told. With 100 members a death is known to all in 6 to 7 s (docs/fleet.md) and held for
+// certain 5 s later; a process that stands still for 5 s is not given up.
 func Usual() Told {
 	return Told{Most: 1000, GoneFor: 10 * time.Minute, Doubt: time.Second, GoneAfter: 5 * time.Second, MuteAfter: 5 * time.Second,
 		Stall: time.Second, Settle: 2 * time.Second, FactsEvery: time.Second, FactsRate: 15, Facts: 16,
