A life that speaks after the detector gave it up is taken back by its own word

Need: in a rehearsal a process stood still for 2 s; one of eight missed how the doubt was taken back, gave it up 4 s later by itself ('suspect timeout reached (0 peer confirmations)'), and held it to be suspect while all others reached it. Nobody passes that one's word on, so it learns better at the next full exchange, up to 10 s later. Change: a bulletin written more than 'doubt' after the detector's word takes that back, without counting as flapping; one that spoke just before the word is not in doubt until its next words were due (twice the pace, 3 s at the most). Who is really gone has been silent for about that long when the detector says so.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -179,6 +179,7 @@
 	warmAt  time.Duration // when it is warm
 	lost    bool          // the detector does not reach it
 	lostAt  time.Duration // since when, by the judgement's clock
+	lostBy  time.Duration // when that was said, by our own time
 	unsound bool          // it was lost while we were not sound ourselves, or with many others
 	heard   time.Duration // when it last spoke or came back, by the judgement's clock
 	penalty float64       // for coming back, as of penaltyAt
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -122,11 +122,33 @@
 	// 0s a 1: joining -> up, ready
 	// 0s b 1: joining -> joining, claimed
 	// 0s b 1: joining -> up, ready
-	// 1s a 1: up -> suspect, unreached
+	// 3s a 1: up -> suspect, unreached
 	// 6s a 1: suspect -> gone, given-up
 	// 1
 }
 
+// One that spoke a moment ago is not in doubt before its next words are due; what it writes well after the detector's word takes that back,
+// also where all others have heard long ago that it is there.
+func Example_missedRefutation() {
+	x := open()
+	x.up("a", "b")
+	x.talk(4*s, "a", "b")
+	x.Lost(ID{"a", 7}, false, x.now)
+	x.talk(4*s, "a", "b")
+	fmt.Println(x.Counts.Refuted)
+	x.Lost(ID{"a", 7}, false, x.now)
+	x.talk(4*s, "b") // in doubt before it speaks again
+	x.talk(2*s, "a", "b")
+	// Output:
+	// 0s a 1: joining -> joining, claimed
+	// 0s a 1: joining -> up, ready
+	// 0s b 1: joining -> joining, claimed
+	// 0s b 1: joining -> up, ready
+	// 1
+	// 11s a 1: up -> suspect, unreached
+	// 13s a 1: suspect -> up, returned
+}
+
 // Restarted within a second under its name and address, while its old messages still travel: the new life is never the old one.
 func Example_restart() {
 	x := open()
@@ -281,6 +303,7 @@
 	x.up("a", "b", "c")
 	for _, flaps := range []int{3, 4, 6, 8, 20} {
 		for range flaps {
+			x.talk(2*s, "b", "c")
 			x.Lost(ID{"a", 7}, false, x.now)
 			x.talk(2*s, "b", "c")
 			x.claim("a", 7, 1)
@@ -305,9 +328,9 @@
 	fmt.Println(x.View().Count(Up))
 	// Output:
 	// 3 0s
-	// 4 58s
-	// 6 1m13s
-	// 8 1m24s
+	// 4 55s
+	// 6 1m9s
+	// 8 1m17s
 	// 20 1m31s
 	// 3
 }
--- a/internal/members/table.go
+++ b/internal/members/table.go
@@ -303,7 +303,7 @@
 		m.lost = true
 		t.set(m, Gone, Left, now)
 	case !m.lost:
-		m.lost, m.lostAt, m.unsound = true, t.clock(now), !t.sound(now)
+		m.lost, m.lostAt, m.lostBy, m.unsound = true, t.clock(now), now, !t.sound(now)
 		t.members = t.members.Set(m.Name, m)
 	default:
 		return
@@ -343,6 +343,11 @@
 		t.members = t.members.Set(m.Name, m)
 	case b.Leaving:
 		t.set(m, Leaving, Said, now)
+	// The detector's word is of a moment. Danger: one that missed how a doubt was taken back gives up by itself whom all others reach, and
+	// hears no more of it for many seconds. What a life wrote well after the word shows that it lives; it has not flapped by that.
+	case m.lost && now-age > m.lostBy+t.told.Doubt:
+		m.unsound = true
+		t.back(m, now)
 	case m.State == Suspect && m.Why == Mute:
 		t.place(m, Returned, now)
 	case m.State == Joining && m.ready && !m.lost:
@@ -438,6 +443,10 @@
 	}
 }
 
+// spoke is how long whoever has just spoken is waited for: until his next word is due, twice over. Who is really gone has been silent for about as
+// long when the detector says so, so it costs no time then.
+func (t *Table) spoke() time.Duration { return min(2*t.Pace(), 3*time.Second) }
+
 // due carries a member over the moments that have come.
 func (t *Table) due(m Member, now time.Duration) {
 	if m.damped && t.faded(m, now) < t.told.Damp.Under {
@@ -452,7 +461,7 @@
 	switch m.State {
 	case Joining, Warming, Up:
 		switch {
-		case m.lost && judged-m.lostAt >= t.told.Doubt:
+		case m.lost && judged-m.lostAt >= t.told.Doubt && now >= m.Spoke+t.spoke()+t.told.Doubt:
 			t.set(m, Suspect, Unreached, now)
 		case m.State == Warming && now >= m.warmAt:
 			t.set(m, Up, Warmed, now)
