--- a/cmd/lanewheel-fleet/main_test.go
+++ b/cmd/lanewheel-fleet/main_test.go
@@ -205,27 +205,22 @@
 	// 1 true
 }
 
-// The short rehearsal: 16 processes; a third stands still, two are killed, halves are parted for longer than it takes to give one
-// another up, four are started again. The rules hold, nobody is given up wrongly, views are equal after each.
-func TestDrill(t *testing.T) {
+// The short rehearsals, beside each other: processes under faults, the rules hold. Members: a third stands still, two are killed, halves are
+// parted for longer than it takes to give one another up, four are started again; nobody is given up wrongly, views are equal after each. Spread: 12
+// instances, 4 relays, a slow link, two instances killed, a relay replaced. Below: caps that hold while deciders die, are deaf and come, a desk
+// stands still and one starts anew. Hand-over: both ends leave, links between them end behind an op, stall, and ends stand still.
+func TestDrills(t *testing.T) {
 	if testing.Short() {
 		t.Skip()
 	}
-	out, err := exec.Command(filepath.Join(folder, "lanewheel"), "drill", "../../drills/members-ci.ini").CombinedOutput()
-	if err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
-	t.Logf("%s", out)
-}
-
-// The short rehearsal of relays: 12 instances, 4 relays; a slow link, two instances killed, a relay replaced.
-func TestDrillSpread(t *testing.T) {
-	if testing.Short() {
-		t.Skip()
-	}
-	out, err := exec.Command(filepath.Join(folder, "lanewheel"), "drill", "../../drills/spread-ci.ini").CombinedOutput()
-	if err != nil {
-		t.Fatalf("%v\n%s", err, out)
+	for _, name := range []string{"members", "spread", "below", "handover"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			out, err := exec.Command(filepath.Join(folder, "lanewheel"), "drill", "../../drills/"+name+"-ci.ini").CombinedOutput()
+			if err != nil {
+				t.Fatalf("%v\n%s", err, out)
+			}
+			t.Logf("%s", out)
+		})
 	}
-	t.Logf("%s", out)
 }
--- /dev/null
+++ b/cmd/lanewheel/services_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"lanewheel/internal/standin"
+)
+
+// Several services below by told addresses, one call at a time each: calls go to both; the third waits until one is over; one that is refused
+// goes to the other service, as nothing of it was sent; and a call that is given up counts until its time below is over.
+func Example_services() {
+	a, b := standin.NewDatabase(), standin.NewDatabase()
+	defer a.Listener.Close()
+	defer b.Listener.Close()
+	operated = filepath.Join(folder, "services.ini")
+	defer func() { operated = "" }()
+	text := fmt.Sprintf("[below]\nservices = %s, %s\ncalls = 1\nlongest = 700ms\n", a.Addr(), b.Addr())
+	if err := os.WriteFile(operated, []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+	t := up(`"dep-share":8,`, `"dep-share":800,`)
+	defer t.close()
+	s := t.stub()
+	ask := func(n int) {
+		s.Send(standin.Op(n, "pay", standin.ID(n), nil))
+		t.rt.Hear()
+		t.rt.Notice("wants", standin.ID(n), "", fmt.Sprint("ask", n))
+	}
+	ask(1)
+	ask(2)
+	first, second := a.Next(), b.Next()
+	fmt.Println(first.Text != second.Text)
+	ask(3)
+	fmt.Println(len(a.Calls), len(b.Calls))
+	second.Reply("200 OK", "", "rows")
+	fmt.Println(t.rt.Hear()[:4])
+	third := b.Next()
+	fmt.Println(third.Text)
+	third.Reply("200 OK", "", "rows")
+	t.rt.Hear()
+
+	// The first one's time below runs out; nothing more goes there before that, and then it does.
+	b.Listener.Close()
+	ask(4)
+	fmt.Println(len(a.Calls))
+	fmt.Println(a.Next().Text)
+	fmt.Println(len(t.db.Calls))
+	// Output:
+	// true
+	// 0 0
+	// give
+	// POST /v1/exec for 3 timed true body "ask3"
+	// 0
+	// POST /v1/exec for 4 timed true body "ask4"
+	// 0
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -25,6 +25,7 @@
 	Cert  certCommand  `cmd:"" help:"Make an authority, issue certificates and take them back."`
 
 	Relay   relayCommand   `cmd:"" help:"Pass ops on to the instances of a fleet."`
+	Desk    deskCommand    `cmd:"" help:"Stand beside a service below, and grant the fleet its calls."`
 	Members membersCommand `cmd:"" help:"Show how a running process sees its fleet, and how far views differ."`
 	Drill   drillCommand   `cmd:"" help:"Start many processes, break what lies between them by a script, and judge."`
 }
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -16,6 +16,7 @@
 type Parts struct {
 	Joins   life.Joins
 	Relay   func(operated, format string) error
+	Desk    func(operated, format string) error
 	Members func(f operator.Fleet, against []string, asJSON bool, out io.Writer) error
 	Drill   func(d *operator.Drill, record, picture string, out io.Writer) (bad int, err error)
 	Show    func(record, picture string, out io.Writer) error
@@ -57,6 +58,19 @@
 	return started(linked.Relay(c.Operator, c.Log))
 }
 
+// deskCommand stands beside a service below.
+type deskCommand struct {
+	Operator string `help:"Operator's file (INI) with the sections [fleet] and [grants]." placeholder:"FILE" type:"path" required:""`
+	Log      string `help:"Form of the log: text or json. Without it the operator's file says." enum:"text,json," default:""`
+}
+
+func (c *deskCommand) Run() error {
+	if linked == nil {
+		return over()
+	}
+	return started(linked.Desk(c.Operator, c.Log))
+}
+
 // membersCommand shows how a running process sees its fleet.
 type membersCommand struct {
 	JSON    bool     `name:"json" help:"Print the whole view as JSON."`
@@ -95,19 +109,21 @@
 }
 
 type drillRun struct {
-	Check   bool   `help:"Only read the script, and print what would be done when."`
-	Seed    *int   `help:"In place of the script's."`
-	Size    int    `help:"Processes, in place of the script's." default:"0"`
-	Record  string `help:"Write the raw record as Parquet." placeholder:"FILE" type:"path"`
-	Picture string `help:"Draw it as SVG." placeholder:"FILE" type:"path"`
-	Script  string `arg:"" help:"The script, an INI: docs/operating/drills.md names all that may stand in it." type:"path"`
+	Check   bool     `help:"Only read the script, and print what would be done when."`
+	Set     []string `help:"A value in place of the script's, as relaying.way=random; may be given several times." placeholder:"SECTION.NAME=VALUE"`
+	Seed    *int     `help:"In place of the script's."`
+	Size    int      `help:"Processes, in place of the script's." default:"0"`
+	Keep    bool     `help:"Keep what the processes logged, also if all held."`
+	Record  string   `help:"Write the raw record as Parquet." placeholder:"FILE" type:"path"`
+	Picture string   `help:"Draw it as SVG." placeholder:"FILE" type:"path"`
+	Script  string   `arg:"" help:"The script, an INI: docs/operating/drills.md names all that may stand in it." type:"path"`
 }
 
 func (c *drillRun) Run(o output) error {
 	if linked == nil {
 		return over()
 	}
-	d, err := operator.LoadDrill(c.Script)
+	d, err := operator.LoadDrill(c.Script, c.Set...)
 	if err != nil {
 		return err
 	}
@@ -117,6 +133,7 @@
 	if c.Size > 0 {
 		d.Processes = c.Size
 	}
+	d.Keep = c.Keep
 	record, picture := c.Record, c.Picture
 	if c.Check {
 		record, picture = "check", ""
--- a/internal/command/further/further.go
+++ b/internal/command/further/further.go
@@ -14,21 +14,29 @@
 	"text/tabwriter"
 	"time"
 
+	"lanewheel/internal/below"
 	"lanewheel/internal/command"
 	"lanewheel/internal/drill"
+	"lanewheel/internal/fleet/desk"
 	"lanewheel/internal/fleet/gossip"
+	"lanewheel/internal/grants"
+	"lanewheel/internal/handover"
 	"lanewheel/internal/keep"
 	"lanewheel/internal/life"
+	"lanewheel/internal/life/desks"
 	"lanewheel/internal/life/relays"
+	"lanewheel/internal/loop"
 	"lanewheel/internal/members"
 	"lanewheel/internal/operator"
+	"lanewheel/internal/pass"
 	"lanewheel/internal/relay"
 	"lanewheel/internal/spread"
+	"lanewheel/internal/wire"
 )
 
 // Parts is all that lanewheel-fleet has beside lanewheel.
 func Parts() command.Parts {
-	return command.Parts{Joins: join, Relay: pass, Members: show, Drill: rehearse, Show: shown, Differ: differ}
+	return command.Parts{Joins: join, Relay: relayed, Desk: desked, Members: show, Drill: rehearse, Show: shown, Differ: differ}
 }
 
 // told puts together what the part goes by.
@@ -49,9 +57,30 @@
 	if err != nil {
 		return nil, err
 	}
+	var over *handover.Part
+	if o.File.HandOver.On {
+		in.HandOver(func(net *wire.Net) keep.Elsewhere {
+			over = handover.New(in, net, o.File.HandOver.Told, config.Seed, asks(part))
+			return over
+		})
+		seeing(part, in.Loop, over.See)
+		in.Attach(over)
+	}
+	if o.File.Below.On {
+		below := below.New(in.Loop, o.File.Below.Told, part.View().Self.ID(), config.Seed, part.AskDesk)
+		part.Grants = func(g grants.Grant) { in.Hand(func() { below.Granted(g) }) }
+		seeing(part, in.Loop, below.See)
+		in.CallAt(below)
+		in.Hand(below.Start)
+	}
 	in.Attach(part)
 	slog.Info("fleet", "name", string(part.View().Self.Name), "listen", o.File.Fleet.Listen, "seeds", len(o.File.Fleet.Told.Seeds), "keys", len(o.ClusterKeys))
-	return func(o *life.Operated) { part.Put(told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys)) }, nil
+	return func(o *life.Operated) {
+		part.Put(told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys))
+		if over != nil {
+			in.Hand(func() { over.Put(o.File.HandOver.Told) })
+		}
+	}, nil
 }
 
 // instance speaks for an instance: what it says of itself comes from its core's loop.
@@ -81,8 +110,29 @@
 
 func (i *instance) Fenced() { i.in.Hand(i.in.Leave) }
 
-// pass runs a relay.
-func pass(operated, format string) error {
+// desked runs a desk.
+func desked(operated, format string) error {
+	return desks.Live(operated, format, func(d *desk.Desk, o *life.Operated) (func(*life.Operated), error) {
+		as := func(o *life.Operated) gossip.Told {
+			f := o.File.Fleet
+			f.Roles = members.Below
+			return told(&f, "", "", o.ClusterKeys)
+		}
+		part, err := gossip.New(as(o), d, uint64(os.Getpid()))
+		if err != nil {
+			return nil, err
+		}
+		d.Join(part)
+		part.Start()
+		return func(o *life.Operated) {
+			part.Put(as(o))
+			d.Retell(o.File.Grants.Told)
+		}, nil
+	})
+}
+
+// relayed runs a relay.
+func relayed(operated, format string) error {
 	return relays.Live(os.Getenv("RELAY_CONFIG"), operated, format, func(config keep.Told, o *life.Operated) (*relay.Relay, func(*life.Operated), error) {
 		fleet := o.File.Fleet
 		fleet.Roles = fleet.Roles&^members.Instance | members.Relay
@@ -91,25 +141,12 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		r, err := relay.Open(config, o.File.Relay.Told, func(name members.Name, then func(float64, time.Duration)) {
-			part.Hand(func() { part.Ask(name, then) })
-		})
+		r, err := relay.Open(config, o.File.Relay.Told, asks(part))
 		if err != nil {
 			return nil, nil, err
 		}
 		speaks.r = r
-		// Views come by the dozen a second; a tenth of one late is far less than they are old.
-		var waits atomic.Bool
-		part.Subscribe(func(*members.View) {
-			if waits.CompareAndSwap(false, true) {
-				r.Hand(func() {
-					r.At(r.Now()+100*time.Millisecond, func() {
-						waits.Store(false)
-						r.See(part.View())
-					})
-				})
-			}
-		})
+		seeing(part, r.Loop, r.See)
 		r.Attach(part)
 		slog.Info("fleet", "name", string(part.View().Self.Name), "listen", fleet.Listen, "seeds", len(fleet.Told.Seeds), "keys", len(o.ClusterKeys))
 		return r, func(o *life.Operated) {
@@ -120,6 +157,28 @@
 	})
 }
 
+// seeing has a part that belongs to a loop see each view. Views come by the dozen a second; a tenth of one late is far less than they are old.
+func seeing(part *gossip.Part, l *loop.Loop, see func(*members.View)) {
+	var waits atomic.Bool
+	part.Subscribe(func(*members.View) {
+		if waits.CompareAndSwap(false, true) {
+			l.Hand(func() {
+				l.At(l.Now()+100*time.Millisecond, func() {
+					waits.Store(false)
+					see(part.View())
+				})
+			})
+		}
+	})
+}
+
+// asks is how others are asked how they stand.
+func asks(part *gossip.Part) pass.Ask {
+	return func(name members.Name, then func(float64, time.Duration)) {
+		part.Hand(func() { part.Ask(name, then) })
+	}
+}
+
 // relaying speaks for a relay.
 type relaying struct{ r *relay.Relay }
 
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -38,12 +38,12 @@
 	}
 	defer w.close()
 	var mu sync.Mutex
-	var broken []Violation
-	began := time.Now()
+	var broken, fallen []Violation
+	first := time.Now()
 	w.failed = func(what string) {
 		mu.Lock()
 		defer mu.Unlock()
-		broken = append(broken, Violation{time.Since(began), "nothing falls over", what})
+		fallen = append(fallen, Violation{time.Since(first), "nothing falls over", what})
 	}
 	h := &history{ops: map[string]*asked{}}
 	w.heard = h.ran
@@ -58,7 +58,10 @@
 		return nil, err
 	}
 	v.figures = append(v.figures, Figure{"s until all know all, at the start", upIn.Seconds()})
-	began = time.Now()
+	began := time.Now()
+	mu.Lock()
+	first = began
+	mu.Unlock()
 	var differs []Row
 	var loads sync.WaitGroup
 	loads.Add(1)
@@ -111,9 +114,18 @@
 	}
 	figures := append(v.figures, rest.figures...)
 	figures = append(figures, Figure{"MB of its own, the fullest process", most})
+	for _, s := range w.services {
+		most, calls := s.Most()
+		figures = append(figures, Figure{"calls at a time, the most at " + s.name, float64(most)}, Figure{"calls at " + s.name, float64(calls)})
+		if most > s.cap {
+			w.failed(fmt.Sprintf("%s: %d calls at a time, the cap is %d", s.name, most, s.cap))
+		}
+	}
+	even, odd := evenness(w, h, events, began, ended)
+	figures, broken = append(figures, even...), append(broken, odd...)
 	sum := w.links.sum()
 	mu.Lock()
-	broken = append(broken, fourRules(w, h, began, ended)...)
+	broken = append(append(broken, fallen...), fourRules(w, h, began, ended)...)
 	mu.Unlock()
 	r := record(w, h, events, differs, w.links.rows(func(i int) string {
 		if i < 0 {
@@ -122,7 +134,7 @@
 		return w.procs[i].name
 	}), broken, figures, began)
 	fmt.Fprintln(out, "the links carried", sum)
-	keep = len(broken) > 0
+	keep = len(broken) > 0 || d.Keep
 	return r, nil
 }
 
@@ -215,8 +227,8 @@
 		}
 	}
 	const each = 24 // MB: what a process was seen to hold with 300 members, the pages of its own and a share of the binary's
-	need := float64(d.Processes+d.Relays)*each + 200
-	fmt.Fprintf(out, "%d processes and %d relays, some %.0f MB of %.0f free, %d cores, seed %d, from %s\n", d.Processes, d.Relays, need, free, runtime.NumCPU(), d.Seed, filepath.Base(d.Path))
+	need := float64(d.Processes+d.Relays+d.Desks)*each + 200
+	fmt.Fprintf(out, "%d processes, %d relays and %d desks, some %.0f MB of %.0f free, %d cores, seed %d, from %s\n", d.Processes, d.Relays, d.Desks, need, free, runtime.NumCPU(), d.Seed, filepath.Base(d.Path))
 	if need > free {
 		return fmt.Errorf("%d processes take some %.0f MB, and %.0f are free", d.Processes, need, free)
 	}
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -70,6 +70,7 @@
 		if w.d.Relays > 0 { // then only they are known to the stubs
 			to = to[w.d.Processes:]
 		}
+		to = to[:len(to)-w.d.Desks]
 		p := to[chance.IntN(len(to))]
 		conn, err := net.DialTimeout("tcp", net.JoinHostPort(p.host, strconv.Itoa(stubPort)), 200*time.Millisecond)
 		if err != nil {
--- a/internal/drill/script.go
+++ b/internal/drill/script.go
@@ -69,7 +69,7 @@
 }
 
 func pick(g operator.Group, d *operator.Drill, but []int, chance *rand.Rand) (all []int) {
-	everybody := make([]int, d.Processes+d.Relays)
+	everybody := make([]int, d.Processes+d.Relays+d.Desks)
 	for i := range everybody {
 		everybody[i] = i
 	}
@@ -79,7 +79,9 @@
 	case "instances":
 		return everybody[:d.Processes]
 	case "relays":
-		return everybody[d.Processes:]
+		return everybody[d.Processes : d.Processes+d.Relays]
+	case "desks":
+		return everybody[d.Processes+d.Relays:]
 	case "rest":
 		return slices.DeleteFunc(everybody, func(i int) bool { return slices.Contains(but, i) })
 	case "zone", "release":
@@ -89,7 +91,7 @@
 			}
 		}
 	case "process":
-		all = []int{min(g.Count, d.Processes+d.Relays-1)}
+		all = []int{min(g.Count, len(everybody)-1)}
 	case "first":
 		all = everybody[:g.Count]
 	case "draw":
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -25,6 +25,7 @@
 type proc struct {
 	i            int
 	relay        bool
+	service      *service // what it stands beside, nil if it is no desk
 	name         string
 	host, front  string // where it is, and where the others reach it
 	folder       string
@@ -45,17 +46,19 @@
 
 // world is all that runs.
 type world struct {
-	d       *operator.Drill
-	binary  string
-	folder  string
-	links   *links
-	db      *standin.Database
-	roster  *standin.Roster
-	procs   []*proc
-	keys    []string
-	started chan func() // work for the one thread that starts processes
-	heard   func(p *proc, op string)
-	failed  func(what string)
+	d      *operator.Drill
+	binary string
+	folder string
+	links  *links
+	db     *standin.Database
+	roster *standin.Roster
+	procs  []*proc
+
+	services []*service
+	keys     []string
+	started  chan func() // work for the one thread that starts processes
+	heard    func(p *proc, op string)
+	failed   func(what string)
 }
 
 const (
@@ -77,13 +80,17 @@
 	}
 	// Danger: two rehearsals on one machine must not meet. Each has loopback networks of its own by its process number.
 	net8 := 64 + os.Getpid()%64
-	for i := range d.Processes + d.Relays {
-		p := &proc{i: i, relay: i >= d.Processes, name: fmt.Sprintf("p%03d", i), host: fmt.Sprintf("127.%d.%d.%d", net8, i/250, i%250+1), front: fmt.Sprintf("127.%d.%d.%d", net8+64, i/250, i%250+1),
+	for i := range d.Processes + d.Relays + d.Desks {
+		p := &proc{i: i, relay: i >= d.Processes && i < d.Processes+d.Relays, name: fmt.Sprintf("p%03d", i), host: fmt.Sprintf("127.%d.%d.%d", net8, i/250, i%250+1), front: fmt.Sprintf("127.%d.%d.%d", net8+64, i/250, i%250+1),
 			rt: standin.NewRuntime(), keys: []int{1}, seeds: d.Seeds}
 		p.folder = filepath.Join(folder, p.name)
 		if err := w.links.add(i, p.host, p.front); err != nil {
 			return nil, err
 		}
+		if i >= d.Processes+d.Relays {
+			p.service = newService(p.name, d)
+			w.services = append(w.services, p.service)
+		}
 		w.procs = append(w.procs, p)
 		go w.serve(p)
 	}
@@ -129,15 +136,29 @@
 	var ini string
 	fleet := fmt.Sprintf("[fleet]\nlisten = %s:%d\nadvertise = %s:%d\nseeds = %s\nzone = %s\nrelease = %s\nkeys = keys\nwatch = w\n",
 		p.host, gossipPort, p.front, gossipPort, strings.Join(list, ", "), zone(w.d, p.i), release(w.d, p.i))
-	if p.relay {
-		ini = "[relay]\n"
-		for _, pair := range w.d.Relaying {
+	section := func(name string, pairs [][2]string) {
+		ini += "[" + name + "]\n"
+		for _, pair := range pairs {
 			ini += pair[0] + " = " + pair[1] + "\n"
 		}
-		ini += fleet
-	} else {
-		ini = fleet + fmt.Sprintf("serves = %s:%d\n", p.front, stubPort)
 	}
+	switch {
+	case p.relay:
+		section("relay", w.d.Relaying)
+	case p.service != nil:
+		section("grants", w.d.Granting)
+		ini += fmt.Sprintf("lock = %s\n", filepath.Join(w.folder, p.name+".lock"))
+		fleet += fmt.Sprintf("name = %s\nserves = %s\n", p.name, p.service.Addr())
+	default:
+		if w.d.Desks > 0 {
+			section("below", w.d.Calling)
+		}
+		if w.d.Hands {
+			section("handover", w.d.Handing)
+		}
+		fleet += fmt.Sprintf("serves = %s:%d\n", p.front, stubPort)
+	}
+	ini += fleet
 	for _, pair := range w.d.Members {
 		ini += pair[0] + " = " + pair[1] + "\n"
 	}
@@ -163,6 +184,9 @@
 	if p.relay {
 		as = "relay"
 	}
+	if p.service != nil {
+		as = "desk"
+	}
 	cmd := exec.Command(w.binary, as, "--operator", p.file("fleet.ini"))
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+p.file("config.json"))
 	cmd.Stdout, cmd.Stderr = log, log
@@ -410,6 +434,9 @@
 		}()
 	}
 	all.Wait()
+	for _, s := range w.services {
+		s.l.Close()
+	}
 	w.links.close()
 	w.db.Listener.Close()
 	w.roster.Close()
--- /dev/null
+++ b/internal/fleet/desk/desk.go
@@ -0,0 +1,155 @@
+// Package desk is the process beside a service below: it says in the fleet where the service is and whether it takes connections, and grants
+// instances their calls. internal/grants decides.
+package desk
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"lanewheel/internal/fleet/gossip"
+	"lanewheel/internal/grants"
+	"lanewheel/internal/loop"
+	"lanewheel/internal/members"
+)
+
+// Desk is one such process: a gossip.Process. All of it belongs to its loop.
+type Desk struct {
+	*loop.Loop
+	service string
+	told    grants.Told
+	desk    *grants.Desk
+	part    *gossip.Part
+	up      bool // the service takes connections
+	leaving bool
+	calls   int // granted, as last logged
+}
+
+// New makes a desk that grants nothing yet.
+func New(told grants.Told, service string) *Desk {
+	return &Desk{Loop: loop.New(1 << 12), service: service, told: told}
+}
+
+// Join gives it the part by which it speaks to the fleet, before that is started.
+func (d *Desk) Join(part *gossip.Part) {
+	d.part = part
+	d.desk = grants.NewDesk(d.told, part.View().Self.Life, d.Now())
+	part.Desk = func(a grants.Ask, answer func(grants.Grant)) {
+		d.Hand(func() {
+			if g, ok := d.desk.Asked(d.Now(), a); ok {
+				answer(g)
+			}
+		})
+	}
+	part.Subscribe(func(v *members.View) {
+		if v.Standing == members.Ousted { // Danger: two that grant the same calls
+			d.Hand(d.desk.Oust)
+		}
+	})
+}
+
+// Retell takes values that were told anew.
+func (d *Desk) Retell(told grants.Told) { d.Hand(func() { d.desk.Retell(told, d.Now()) }) }
+
+// Serve runs the loop until the desk has left.
+func (d *Desk) Serve() {
+	d.Hand(func() { d.note() })
+	go d.look()
+	d.Run(func() {})
+}
+
+// look sees, once a second, whether the service takes connections. It works beside the loop, as a connection may take its time.
+func (d *Desk) look() {
+	for {
+		c, err := net.DialTimeout("tcp", d.service, 500*time.Millisecond)
+		if err == nil {
+			c.Close()
+		}
+		d.Hand(func() {
+			if up := err == nil; up != d.up {
+				d.up = up
+				slog.Info("service", "addr", d.service, "up", up)
+			}
+		})
+		time.Sleep(time.Second)
+	}
+}
+
+// note writes how much is granted where that has changed by much.
+func (d *Desk) note() {
+	calls, holders := d.desk.Granted(d.Now())
+	if step := max(4, d.told.Cap/4); calls-d.calls >= step || d.calls-calls >= step || calls == 0 && d.calls > 0 {
+		d.calls = calls
+		slog.Info("granted", "calls", calls, "of", d.told.Room(), "holders", holders, "quiet", d.desk.Quiet(d.Now()))
+	}
+	d.At(d.Now()+time.Second, d.note)
+}
+
+// Report is gossip.Process.
+func (d *Desk) Report(then func(gossip.Report)) {
+	d.Hand(func() {
+		calls, holders := d.desk.Granted(d.Now())
+		then(gossip.Report{Ready: d.up, Leaving: d.leaving, Facts: []members.Fact{{Key: "cap", Value: float64(d.told.Cap)},
+			{Key: "granted", Value: float64(calls)}, {Key: "holders", Value: float64(holders)}}})
+	})
+}
+
+// Load is gossip.Process.
+func (d *Desk) Load(then func(float64)) {
+	d.Hand(func() {
+		calls, _ := d.desk.Granted(d.Now())
+		then(float64(calls))
+	})
+}
+
+// Fenced is gossip.Process.
+func (d *Desk) Fenced() { d.Hand(d.desk.Oust) }
+
+// Leave is the notice to go: what was granted runs out by itself.
+func (d *Desk) Leave(within time.Duration) {
+	if d.leaving {
+		return
+	}
+	d.leaving = true
+	slog.Info("leaving", "kill_ms", within.Milliseconds())
+	d.part.Leave(within)
+	d.left(d.Now() + within + 200*time.Millisecond)
+}
+
+func (d *Desk) left(last time.Duration) {
+	if d.part.Closed() || d.Now() >= last {
+		d.Over()
+		return
+	}
+	d.At(d.Now()+10*time.Millisecond, func() { d.left(last) })
+}
+
+// Hold takes a lock that one process alone on this machine can have, and waits for it. Danger: a desk that stands still while another
+// is started in its place, and then goes on granting by what it remembers. The kernel gives the lock back when its holder ends, and not before.
+func Hold(path string, wait func() bool) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	for told := false; ; {
+		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return nil // the file stays open, and so the lock held, until the process ends
+		}
+		if err != syscall.EWOULDBLOCK {
+			return err
+		}
+		if !told {
+			told = true
+			slog.Warn("waiting-for-lock", "file", path)
+		}
+		if !wait() {
+			return err
+		}
+	}
+}
--- a/internal/fleet/gossip/codec.go
+++ b/internal/fleet/gossip/codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
+	"lanewheel/internal/grants"
 	"lanewheel/internal/members"
 )
 
@@ -18,6 +19,8 @@
 	kindFenced   byte = 'f'
 	kindQuery    byte = 'q'
 	kindWord     byte = 'w'
+	kindAsk      byte = 'a'
+	kindGrant    byte = 'g'
 	headSize          = 5
 )
 
@@ -84,6 +87,58 @@
 	Load  float64 `codec:"l"`
 }
 
+// ask is a grants.Ask, and grant its answer.
+type ask struct {
+	To    string `codec:"t"` // the life that is asked
+	Who   string `codec:"w"` // the life that asks, and where it is reached
+	Addr  string `codec:"a"`
+	Seq   uint64 `codec:"s"`
+	Desk  uint64 `codec:"d"` // who granted what it has, in answer to which ask
+	Has   uint64 `codec:"h"`
+	Limit int    `codec:"l"`
+	Open  int    `codec:"o"`
+	Wants int    `codec:"n"`
+}
+
+type grant struct {
+	Desk      uint64 `codec:"d"`
+	Seq       uint64 `codec:"s"`
+	Limit     int    `codec:"l"`
+	HoldsMS   int64  `codec:"h"`
+	Alone     int    `codec:"a"`
+	LongestMS int64  `codec:"m"`
+}
+
+// readAsk reads what a holder wants; it counts for the life that it says it is, and for us only if it means this life of ours.
+func readAsk(body []byte, self members.ID) (a grants.Ask, addr string, err error) {
+	var w ask
+	if err = unpack(body, &w); err != nil {
+		return a, "", err
+	}
+	who, ok := members.ReadID(w.Who)
+	if !ok || w.Seq == 0 || w.Limit < 0 || w.Open < 0 || w.Wants < 0 || w.To != self.String() || len(w.Addr) > longestName {
+		return a, "", errTold
+	}
+	return grants.Ask{Who: who, Seq: w.Seq, Has: grants.Has{Desk: members.Life(w.Desk), Seq: w.Has, Limit: w.Limit}, Open: w.Open, Wants: w.Wants}, w.Addr, nil
+}
+
+func packAsk(a grants.Ask, to members.ID, addr string) []byte {
+	return pack(kindAsk, ask{to.String(), a.Who.String(), addr, a.Seq, uint64(a.Has.Desk), a.Has.Seq, a.Has.Limit, a.Open, a.Wants})
+}
+
+func packGrant(g grants.Grant) []byte {
+	return pack(kindGrant, grant{uint64(g.Desk), g.Seq, g.Limit, g.Holds.Milliseconds(), g.Alone, g.Longest.Milliseconds()})
+}
+
+func readGrant(body []byte) (g grants.Grant, err error) {
+	var w grant
+	if err = unpack(body, &w); err == nil && (w.Limit < 0 || w.HoldsMS <= 0 || w.HoldsMS > math.MaxInt32 || w.Alone < 0 || w.LongestMS <= 0 || w.LongestMS > math.MaxInt32) {
+		err = errTold
+	}
+	return grants.Grant{Desk: members.Life(w.Desk), Seq: w.Seq, Limit: w.Limit, Holds: time.Duration(w.HoldsMS) * time.Millisecond, Alone: w.Alone,
+		Longest: time.Duration(w.LongestMS) * time.Millisecond}, err
+}
+
 // fenced tells a life that a later one has its name.
 type fenced struct {
 	Name        string `codec:"n"`
--- a/internal/fleet/gossip/codec_test.go
+++ b/internal/fleet/gossip/codec_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"lanewheel/internal/grants"
 	"lanewheel/internal/members"
 	_ "lanewheel/internal/scenes"
 )
@@ -35,6 +36,20 @@
 		if back, err := readClaim(c.ID().String(), "a:1", packClaim(c)); err != nil || back != c {
 			t.Fatal(err, back, c)
 		}
+		count := func(label string) int { return rapid.IntRange(0, 1<<40).Draw(t, label) }
+		a := grants.Ask{Who: b.ID, Seq: 1 + rapid.Uint64Max(1<<60).Draw(t, "ask"), Has: grants.Has{Desk: b.Life, Seq: b.Seq, Limit: count("limit")}, Open: count("open"), Wants: count("wants")}
+		_, _, body, _ = kindOf(packAsk(a, c.ID(), "a:1"))
+		if back, addr, err := readAsk(body, c.ID()); err != nil || back != a || addr != "a:1" || len(body) > longestMsg {
+			t.Fatal(err, back, a)
+		}
+		if _, _, err := readAsk(body, members.ID{Name: "another", Life: 1}); err == nil {
+			t.Fatal("an ask of another")
+		}
+		g := grants.Grant{Desk: b.Life, Seq: b.Seq, Limit: count("granted"), Holds: ms("for") + time.Millisecond, Alone: 1, Longest: ms("longest") + time.Millisecond}
+		_, _, body, _ = kindOf(packGrant(g))
+		if back, err := readGrant(body); err != nil || back != g {
+			t.Fatal(err, back, g)
+		}
 		if n := len(packClaim(c)); n > 512 {
 			t.Fatal("a claim of ", n)
 		}
@@ -79,6 +94,10 @@
 	f.Add(packBulletin(members.Bulletin{ID: members.ID{Name: "n", Life: 1}, Facts: []members.Fact{{Key: "load", Value: 1}}}))
 	f.Add(packClaim(members.Claim{Capacity: 1, Zone: "z"}))
 	f.Add(pack(kindFenced, fenced{"n", 1, 2}))
+	f.Add(packAsk(grants.Ask{Who: members.ID{Name: "n", Life: 1}, Seq: 1, Wants: 3}, members.ID{Name: "n", Life: 1}, "a:1"))
+	f.Add(packGrant(grants.Grant{Desk: 1, Seq: 1, Limit: 2, Holds: time.Second, Longest: time.Second}))
+	f.Add(pack(kindQuery, query{1, "a@1", "b@1", "c:1"}))
+	f.Add(pack(kindWord, word{1, -0.5}))
 	f.Add([]byte{'b', 0, 0, 0, 0, 0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if _, _, body, err := kindOf(b); err == nil {
@@ -87,6 +106,16 @@
 			}
 			var x fenced
 			_ = unpack(body, &x)
+			var q query
+			_ = unpack(body, &q)
+			var w word
+			_ = unpack(body, &w)
+			if a, _, err := readAsk(body, members.ID{Name: "n", Life: 1}); err == nil && (a.Seq == 0 || a.Open < 0 || a.Wants < 0) {
+				t.Fatal(a)
+			}
+			if g, err := readGrant(body); err == nil && (g.Holds <= 0 || g.Limit < 0) {
+				t.Fatal(g)
+			}
 		}
 		_, _ = readClaim("n@0000000000000001", "a:1", b)
 		total := 0
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/memberlist"
 	"golang.org/x/time/rate"
 
+	"lanewheel/internal/grants"
 	"lanewheel/internal/logline"
 	"lanewheel/internal/loop"
 	"lanewheel/internal/members"
@@ -99,6 +100,11 @@
 	asked    map[uint64]*asking  // queries that no word has come to
 	nonce    uint64
 	left     sync.Once // the library can't be left twice
+
+	// Desk hears who asks for calls to the service that we stand beside, Grants what was granted to us. Nil where there is none; on our loop,
+	// set before Start. answer may be called on any goroutine.
+	Desk   func(a grants.Ask, answer func(grants.Grant))
+	Grants func(g grants.Grant)
 }
 
 // said is our last bulletin as it goes out, with when it was written.
@@ -357,6 +363,15 @@
 	}
 }
 
+// AskDesk asks the desk beside a service below for calls. Any goroutine may call it; the answer, if one comes, goes to Grants.
+func (p *Part) AskDesk(name members.Name, a grants.Ask) {
+	p.Hand(func() {
+		if m, known := p.table.View().Get(name); known {
+			_ = p.list.SendToAddress(memberlist.Address{Addr: m.Addr, Name: m.ID().String()}, packAsk(a, m.ID(), p.table.Self().Addr))
+		}
+	})
+}
+
 // asking is a query under way.
 type asking struct {
 	at   time.Duration
@@ -598,6 +613,20 @@
 					a.then(w.Load, (p.Now()-a.at)/2)
 				}
 			}
+		case kindAsk:
+			var a grants.Ask
+			var addr string
+			if a, addr, err = readAsk(body, p.table.Self().ID()); err == nil && p.Desk != nil {
+				p.Desk(a, func(g grants.Grant) {
+					b := packGrant(g)
+					p.Hand(func() { _ = p.list.SendToAddress(memberlist.Address{Addr: addr, Name: a.Who.String()}, b) })
+				})
+			}
+		case kindGrant:
+			var g grants.Grant
+			if g, err = readGrant(body); err == nil && p.Grants != nil {
+				p.Grants(g)
+			}
 		case kindFenced:
 			var x fenced
 			if err = unpack(body, &x); err == nil && members.Name(x.Name) == p.told.Name {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	Cost                      time.Duration
 	KB, Rank                  float64
 	Token                     string // empty where none is brought
+	Passed                    int    // how many processes have passed it on
 	Body                      []byte
 }
 
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,163 @@
+// Package handover gives an op that an instance turns away to another instance with room, once. It decides nothing: internal/spread says
+// whether and to whom, internal/pass carries it there. It belongs to the instance's loop.
+package handover
+
+import (
+	"log/slog"
+	"time"
+
+	"lanewheel/internal/front"
+	"lanewheel/internal/keep"
+	"lanewheel/internal/logline"
+	"lanewheel/internal/loop"
+	"lanewheel/internal/members"
+	"lanewheel/internal/pass"
+	"lanewheel/internal/spread"
+	"lanewheel/internal/wire"
+)
+
+// Told is what it goes by.
+type Told struct {
+	pass.Told
+	Hand spread.HandTold
+}
+
+// Part is the hand-over of one instance. It is a keep.Elsewhere and a front.Front.
+type Part struct {
+	loop    *loop.Loop
+	in      *keep.Instance
+	told    Told
+	passer  *pass.Passer
+	hander  *spread.Hander
+	open    map[*op]bool
+	leaving bool
+	counts  map[string]uint64
+	tally   logline.Tally[string]
+}
+
+// op is one that is elsewhere.
+type op struct {
+	p    *Part
+	owed front.Owed
+	way  *pass.Op
+}
+
+// New makes the part of an instance whose loop and sockets it shares.
+func New(in *keep.Instance, net *wire.Net, told Told, seed uint64, ask pass.Ask) *Part {
+	passer := pass.New(in.Loop, net, told.Told, seed, ask)
+	return &Part{loop: in.Loop, in: in, told: told, passer: passer, hander: spread.NewHander(told.Hand, passer.Chooser), open: map[*op]bool{}, counts: map[string]uint64{}}
+}
+
+// See takes a view of the fleet.
+func (p *Part) See(v *members.View) { p.passer.See(v, members.Instance) }
+
+// Put takes values that were told anew.
+func (p *Part) Put(told Told) { p.hander.Retell(told.Hand) }
+
+// Start is front.Front.
+func (p *Part) Start() {
+	p.loop.Hand(func() {
+		p.passer.Start()
+		p.look()
+	})
+}
+
+// look asks others how they stand while we have more than our cores can do, so that words are fresh when one is turned away; and
+// writes what came of it from time to time.
+func (p *Part) look() {
+	if l := p.in.Load(); l.Held > 0 && !p.leaving {
+		// Two in a tenth of a second, as a relay asks for each op that it passes on: forty fresh words a second.
+		p.passer.Query()
+		p.passer.Query()
+	}
+	p.tally.Rest(p.loop.Wall(), func(what string, more int) { slog.Info("handover", "what", what, "more", more) })
+	p.loop.At(p.loop.Now()+50*time.Millisecond, p.look)
+}
+
+// own is our load, as others say theirs.
+func (p *Part) own() float64 {
+	l := p.in.Load()
+	return float64(l.Held+l.Running) / max(1, l.Cores)
+}
+
+func (p *Part) note(what string) {
+	p.counts[what]++
+	if p.tally.Line(what, p.loop.Wall()) {
+		slog.Info("handover", "what", what, "so_far", p.counts[what])
+	}
+}
+
+// Came is keep.Elsewhere.
+func (p *Part) Came() { p.hander.Came() }
+
+// Take is keep.Elsewhere.
+func (p *Part) Take(ask front.Ask, due time.Duration, repeats bool, owed front.Owed) front.Op {
+	why := spread.Handed
+	place := 0
+	switch {
+	case p.leaving:
+		why = spread.Leaving
+	case ask.Passed == 0:
+		place, why = p.hander.Offer(p.loop.Now(), due-p.loop.Now(), p.own(), p.passer.Chance)
+	}
+	// Whoever has to say no asks others how they stand.
+	p.passer.Query()
+	if why != spread.Offered {
+		p.note(string(why))
+		return nil
+	}
+	p.note("offered")
+	o := &op{p: p, owed: owed}
+	p.open[o] = true
+	o.way = p.passer.GiveTo(place, ask, due, repeats, o.ended)
+	if o.owed == nil { // it ended at once: its answer is given
+		return nil
+	}
+	return o
+}
+
+// ended answers by what became of it there. What proves that it ran nowhere is what we would have said ourselves.
+func (o *op) ended(e pass.Ended) {
+	p := o.p
+	delete(p.open, o)
+	owed := o.owed
+	o.owed = nil
+	p.hander.Ended(p.loop.Now(), e.What)
+	switch {
+	case e.What == spread.Served:
+		p.note("served")
+		owed.Answer(e.Result, e.With)
+	case e.Error == "Denied":
+		p.note("denied")
+		owed.Reject("denied", e.With)
+	case !e.Ran():
+		p.note("turned-away")
+		owed.Refuse(e.With)
+	default:
+		p.note("failed")
+		owed.Fail(e.With)
+	}
+	owed.Settled()
+}
+
+// Gone is keep.Elsewhere: nobody waits any more.
+func (p *Part) Gone(x front.Op) {
+	if o, is := x.(*op); is && o.owed != nil {
+		o.owed = nil
+		delete(p.open, o)
+		o.way.Gone()
+	}
+}
+
+// Leave is front.Front. What is elsewhere may still come back; shortly before the end it is answered as it stands.
+func (p *Part) Leave(last time.Duration) {
+	p.leaving = true
+	p.loop.At(p.loop.Now()+max(0, last-70*time.Millisecond), func() {
+		for o := range p.open {
+			o.way.Late()
+		}
+	})
+}
+
+// Closed is front.Front.
+func (p *Part) Closed() bool { return len(p.open) == 0 }
--- a/internal/keep/calls.go
+++ b/internal/keep/calls.go
@@ -12,9 +12,10 @@
 // come twice, or noise behind it, and what comes late on a connection that is used again would be taken for the next
 // call's reply; and a resting connection may be forgotten there, so that nobody can tell whether the next call ran.
 type database struct {
-	open int     // connections that stand or are being opened
-	most int     // as many as the descriptors left beside the client stubs allow
-	wait []*call // calls that wait for one
+	below Below   // services that calls go to; nil: the configuration's one address
+	open  int     // connections that stand or are being opened
+	most  int     // as many as the descriptors left beside the client stubs allow
+	wait  []*call // calls that wait for one
 }
 
 // call is one call of a run, until its outcome is told.
@@ -26,6 +27,32 @@
 	sent  bool
 	limit *loop.Timer
 	done  func(choice.Ending, time.Duration)
+	place Place  // where it goes, where there are several
+	last  string // where it was refused before
+	tries int
+}
+
+// Below is several services that calls may go to. It belongs to the owner loop.
+type Below interface {
+	// Take gives a call a place at a service, but not at the one where it was refused; waiting is how many calls wait for one. It gives nil
+	// while none has room.
+	Take(not string, waiting int) Place
+	// Freed has then called whenever there may be room again.
+	Freed(then func())
+}
+
+// Place is a call's at one service.
+type Place interface {
+	Addr() string
+	Longest() time.Duration // that the call may last there
+	// Over gives the place back, once. running tells that the call may go on there for as long as it was told.
+	Over(how choice.Ending, running bool)
+}
+
+// CallAt has calls go to services that are told elsewhere. It belongs to the time before Serve.
+func (in *Instance) CallAt(b Below) {
+	in.database.below = b
+	b.Freed(func() { in.database.next(in) })
 }
 
 func (d *database) init(in *Instance) {
@@ -38,17 +65,46 @@
 	c := &call{op: o, began: in.Now(), until: until, done: done}
 	o.run.call = c
 	c.limit = in.At(until, func() { d.end(in, c, c.cut(choice.GivenUp)) })
-	if d.open >= d.most {
+	if d.open >= d.most || !d.settle(in, c) {
 		d.wait = append(d.wait, c)
 		return
 	}
 	d.dial(in, c)
 }
 
+// settle finds a call its place, where there are several services.
+func (d *database) settle(in *Instance, c *call) bool {
+	if d.below == nil {
+		return true
+	}
+	if c.place = d.below.Take(c.last, len(d.wait)+1); c.place == nil {
+		return false
+	}
+	c.tries++
+	// Danger: what is granted counts on calls that last no longer than is told.
+	if until := in.Now() + c.place.Longest(); until < c.until {
+		c.until = until
+		c.limit.Drop()
+		c.limit = in.At(until, func() { d.end(in, c, c.cut(choice.GivenUp)) })
+	}
+	return true
+}
+
+// leave gives a call's place back. running tells that it may go on below.
+func (c *call) leave(how choice.Ending, running bool) {
+	if p := c.place; p != nil {
+		c.place = nil
+		p.Over(how, running)
+	}
+}
+
 // dial opens the connection of a call and sends it.
 func (d *database) dial(in *Instance, c *call) {
 	d.open++
 	addr := in.told.Database
+	if c.place != nil {
+		addr = c.place.Addr()
+	}
 	var conn *wire.Database
 	conn = in.net.DialDatabase(addr, func(refused error) {
 		switch {
@@ -57,10 +113,10 @@
 			conn.Call(addr, c.op.id, c.until-in.Now(), c.op.run.ask)
 		case refused != nil:
 			d.open--
-			if c.op.run != nil && c.op.run.call == c && addr != in.told.Database { // it has moved since
-				d.dial(in, c)
+			if c.op.run != nil && c.op.run.call == c && d.again(in, c, addr) {
 				return
 			}
+			c.leave(choice.Unreached, false)
 			d.end(in, c, choice.Unreached) // nothing was sent
 			d.next(in)
 		}
@@ -69,14 +125,38 @@
 	conn.OnReply = func(r wire.Reply) { d.reply(in, c, r) }
 	conn.OnEnd = func(string) {
 		d.open--
+		c.leave(choice.Broken, c.sent)
 		d.end(in, c, c.cut(choice.Broken))
 		d.next(in)
 	}
 }
 
-// next gives a waiting call the room that a connection has left.
+// again makes a call anew of which nothing was sent, as its address was refused: the database has moved, or there is another service.
+func (d *database) again(in *Instance, c *call, addr string) bool {
+	if d.below == nil {
+		if addr == in.told.Database {
+			return false
+		}
+		d.dial(in, c)
+		return true
+	}
+	c.leave(choice.Unreached, false)
+	c.last = addr
+	const tries = 2 // two that are refused one after the other are a network that is gone
+	switch {
+	case c.tries >= tries:
+		return false
+	case d.open >= d.most || !d.settle(in, c):
+		d.wait = append(d.wait, c) // until another has room, or its time is up
+	default:
+		d.dial(in, c)
+	}
+	return true
+}
+
+// next gives waiting calls the room that there is.
 func (d *database) next(in *Instance) {
-	if len(d.wait) > 0 && d.open < d.most {
+	for len(d.wait) > 0 && d.open < d.most && d.settle(in, d.wait[0]) {
 		c := d.wait[0]
 		d.wait = d.wait[1:]
 		d.dial(in, c)
@@ -104,6 +184,7 @@
 		how = choice.GivenUp
 	}
 	c.conn.Blame("answered")
+	c.leave(how, false)
 	d.end(in, c, how)
 }
 
@@ -132,6 +213,7 @@
 		return
 	}
 	c.limit.Drop()
+	c.leave(choice.GivenUp, c.sent)
 	if c.conn != nil {
 		c.conn.Close("call-given-up")
 	}
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -44,6 +44,7 @@
 	touched bool         // the module has heard something in this batch
 
 	kinds   map[choice.OpType]time.Duration // the op timeouts of those that were told
+	repeats map[choice.OpType]bool          // those of them that may run twice
 	tenants map[choice.TenantID]bool        // those that were told
 
 	ops   map[choice.OpID]*op
@@ -60,6 +61,9 @@
 	most    int // ops in hand
 	running int // of them
 
+	elsewhere Elsewhere // where ops may go that are turned away here; nil: nowhere
+	away      int       // ops in hand that are there
+
 	fronts  []front.Front
 	emptied time.Duration // when the last op in hand was over
 	early   time.Duration // see Now
@@ -71,10 +75,11 @@
 	buffers := int(told.MemoryMB*(1<<20)) / wire.BufferSize
 	in := &Instance{Loop: loop.New(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{}}
 	in.health.good = true
-	in.kinds, in.tenants = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}
+	in.kinds, in.tenants, in.repeats = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}, map[choice.OpType]bool{}
 	for _, kind := range list(told.Facts, "op types") {
 		name, _ := kind["name"].(string)
 		in.kinds[choice.OpType(name)] = max(span(kind, "op timeout"), span(kind, "target latency"))
+		in.repeats[choice.OpType(name)] = kind["repeats"] == "retryable"
 	}
 	for _, tenant := range list(told.Facts, "tenants") {
 		name, _ := tenant["name"].(string)
@@ -149,10 +154,29 @@
 	run     *run
 	sharing func(choice.Ending, time.Duration) // waits for another's result
 	since   time.Duration                      // when it began to wait
-	outside bool                               // it waits at the door: the module has not heard of it
+	outside bool                               // the module does not know of it: it waits at the door, or is elsewhere
+	asked   *front.Ask                         // as it came, less its body; nil where nothing is handed over
+	due     time.Duration                      // with it
+	handed  front.Op                           // it is elsewhere
 	pass    rights.Pass                        // given back when the op is over
 }
 
+// Elsewhere is where an op may go that the module has turned away here. It belongs to the owner loop.
+type Elsewhere interface {
+	// Came tells that an op has come here.
+	Came()
+	// Take takes what is owed of an op, or gives nil if it does not, or has answered it at once. What is taken is answered by due.
+	Take(ask front.Ask, due time.Duration, repeats bool, owed front.Owed) front.Op
+	// Gone tells that nobody waits any more for one that was taken.
+	Gone(front.Op)
+}
+
+// HandOver has ops that are turned away here go elsewhere where that takes them. It belongs to the time before Serve.
+func (in *Instance) HandOver(to func(net *wire.Net) Elsewhere) {
+	in.elsewhere = to(in.net)
+	in.net.Passed.Store(true)
+}
+
 // Enter is front.Core: it takes an op from a front. What can't be taken is nacked at once: nothing is before the runtime has
 // come up, nor under the id of an op in hand that came elsewhere: whose it is can't be told, and it never ran.
 func (in *Instance) Enter(ask front.Ask, badge *identity.Badge, owed front.Owed) front.Op {
@@ -202,7 +226,7 @@
 func (in *Instance) Load() front.Load {
 	cores, _ := in.told.Facts["cores"].(float64)
 	return front.Load{Up: in.desk != nil && in.runtime.synced, Leaving: in.leaving, Well: in.well(), Cores: cores,
-		Held: len(in.ops) - in.running, Running: in.running, Room: in.most - len(in.ops), Signal: in.say, Idle: in.idle()}
+		Held: len(in.ops) - in.running - in.away, Running: in.running, Room: in.most - len(in.ops), Signal: in.say, Idle: in.idle()}
 }
 
 // idle is how long nothing has been in hand.
@@ -235,6 +259,9 @@
 		o = in.take(ask, owed)
 	}
 	o.outside = false
+	if in.elsewhere != nil {
+		in.remember(o, ask, lay)
+	}
 	in.touched = true
 	in.desk.Read(choice.Arrival{ID: o.id, Type: o.kind, Rank: ask.Rank, Write: ask.Subject == "",
 		Subject: ask.Subject, Caller: choice.CallerID(ask.From), Waits: ask.Waits,
@@ -243,6 +270,73 @@
 	return o
 }
 
+// remember keeps what it takes to ask for an op elsewhere.
+func (in *Instance) remember(o *op, ask front.Ask, lay time.Duration) {
+	in.elsewhere.Came()
+	ask.Body = nil
+	o.asked = &ask
+	o.due = in.Loop.Now() - lay + in.kinds[o.kind]
+	if ask.Waits {
+		o.due = min(o.due, in.Loop.Now()-lay+ask.Wait)
+	}
+}
+
+// hand gives an op that the module has turned away to another instance, and tells whether that has it now. The module is done with it.
+func (in *Instance) hand(o *op) bool {
+	// One that runs, or waits for another's result, or whose caller is known by his connection, stays.
+	if o.asked == nil || o.owed == nil || o.run != nil || o.sharing != nil || in.leaving || in.door != nil && o.asked.Token == "" {
+		return false
+	}
+	ask := *o.asked
+	ask.Body = o.body
+	in.keys.over(in, o, nil)
+	o.outside, o.asked = true, nil
+	in.away++
+	h := &handed{in, o}
+	o.handed = h // it is elsewhere before it may come back
+	if taken := in.elsewhere.Take(ask, o.due, in.repeats[o.kind], h); taken != nil {
+		o.handed = taken
+		return true
+	}
+	if o.owed == nil { // it is answered
+		return true
+	}
+	in.away--
+	o.handed = nil
+	return false
+}
+
+// handed is an op that is elsewhere: a front.Owed.
+type handed struct {
+	in *Instance
+	o  *op
+}
+
+func (h *handed) Answer(result []byte, with front.With) {
+	h.in.answer(h.o, func(w front.Owed) { w.Answer(result, h.in.with()) })
+}
+func (h *handed) Refuse(with front.With) {
+	with.Say = h.in.say
+	h.in.answer(h.o, func(w front.Owed) { w.Refuse(with) })
+}
+func (h *handed) Fail(front.With) {
+	h.in.answer(h.o, func(w front.Owed) { w.Fail(h.in.with()) })
+}
+func (h *handed) Reject(code string, with front.With) {
+	with.Say = h.in.say
+	h.in.answer(h.o, func(w front.Owed) { w.Reject(code, with) })
+}
+func (h *handed) Settled() { h.in.back(h.o) }
+
+// back forgets that an op is elsewhere.
+func (in *Instance) back(o *op) {
+	if o.handed != nil {
+		o.handed = nil
+		in.away--
+		in.release(o)
+	}
+}
+
 // take puts an op in the tables.
 func (in *Instance) take(ask front.Ask, owed front.Owed) *op {
 	o := &op{id: choice.OpID(ask.ID), kind: choice.OpType(ask.Type), subject: ask.Subject, owed: owed,
@@ -274,6 +368,11 @@
 // gone hears that the caller of an op has given it up.
 func (in *Instance) gone(o *op) {
 	in.unowe(o)
+	if o.handed != nil {
+		in.elsewhere.Gone(o.handed)
+		in.back(o)
+		return
+	}
 	if o.outside { // the verdict finds it gone
 		in.release(o)
 		return
@@ -304,7 +403,7 @@
 
 // release forgets an op that nothing is owed to any more and that does not run.
 func (in *Instance) release(o *op) {
-	if o.owed != nil || o.run != nil || in.ops[o.id] != o {
+	if o.owed != nil || o.run != nil || o.handed != nil || in.ops[o.id] != o {
 		return
 	}
 	delete(in.ops, o.id)
@@ -347,6 +446,9 @@
 
 func (in *Instance) Nack(id choice.OpID, stayAway time.Duration, nowhereElse bool) {
 	if o := in.ops[id]; o != nil {
+		if in.elsewhere != nil && !nowhereElse && in.hand(o) {
+			return
+		}
 		with := in.with()
 		with.After, with.Last = stayAway, nowhereElse
 		in.answer(o, func(w front.Owed) { w.Refuse(with) })
--- /dev/null
+++ b/internal/life/desks/desks.go
@@ -0,0 +1,58 @@
+// Package desks is the start and the stop of a desk beside a service below.
+package desks
+
+import (
+	"log/slog"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"lanewheel/internal/fault"
+	"lanewheel/internal/fleet/desk"
+	"lanewheel/internal/life"
+	"lanewheel/internal/logline"
+)
+
+// Join brings a desk into its fleet and gives what takes an operator's file that was read anew.
+type Join func(d *desk.Desk, o *life.Operated) (reload func(*life.Operated), err error)
+
+// stop is how long a desk takes to leave: its word has to get through.
+const stop = time.Second
+
+// Live starts the desk that the operator's file tells of, and grants until it is told to go.
+func Live(operated, format string, join Join) error {
+	signals := life.Signals()
+	logline.Start(os.Stderr, format)
+	with, err := life.Operate(operated)
+	if err != nil {
+		return err
+	}
+	if !with.File.Grants.On {
+		return fault.List{{File: operated, Want: "wants the sections [fleet] and [grants]"}}
+	}
+	if format == "" {
+		logline.Start(os.Stderr, with.File.Log.Format)
+	}
+	runtime.GOMAXPROCS(2) // one for the gossip's sockets
+	err = desk.Hold(with.File.Grants.Lock, func() bool {
+		select {
+		case s := <-signals:
+			return s != syscall.SIGTERM
+		case <-time.After(200 * time.Millisecond):
+			return true
+		}
+	})
+	if err != nil {
+		return err
+	}
+	d := desk.New(with.File.Grants.Told, with.File.Fleet.Serves)
+	reload, err := join(d, &with)
+	if err != nil {
+		return err
+	}
+	slog.Info("desk", "name", with.File.Fleet.Name, "service", with.File.Fleet.Serves, "cap", with.File.Grants.Told.Cap, "room", with.File.Grants.Told.Room())
+	go life.Heed(signals, operated, with, func() { d.Hand(func() { d.Leave(stop) }) }, reload)
+	d.Serve()
+	return nil
+}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -21,8 +20,7 @@
 // Live starts the instance that the configuration at path and the operator's file, if one is named, tell of, and serves
 // until it is told to go. format is text or json; empty, the operator's file says.
 func Live(path, operated, format string) error {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP) // before all else: untold, either would end us
+	signals := Signals()
 	logline.Start(os.Stderr, format)
 	told, err := Tell(path)
 	if err != nil {
--- a/internal/life/relays/relays.go
+++ b/internal/life/relays/relays.go
@@ -5,10 +5,8 @@
 	"log/slog"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"lanewheel/internal/fault"
@@ -23,8 +21,7 @@
 
 // Live starts the relay that the configuration at path and the operator's file tell of, and passes ops on until it is told to go.
 func Live(path, operated, format string, join Join) error {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP) // before all else: untold, either would end us
+	signals := life.Signals()
 	logline.Start(os.Stderr, format)
 	config, err := life.Tell(path)
 	if err != nil {
@@ -48,26 +45,7 @@
 		return err
 	}
 	slog.Info("listening", "name", config.Name, "addr", config.Listen, "relay", true)
-	go func() {
-		for s := range signals {
-			if s == syscall.SIGTERM {
-				r.Hand(r.Leave)
-				continue
-			}
-			// A file that is being written may be wrong for a moment: the old one holds, and the next notice reads it again.
-			again, err := life.Operate(operated)
-			if err == nil {
-				err = life.Fixed(&again, &with)
-			}
-			if err != nil {
-				slog.Warn("configuration-kept", "err", err)
-				continue
-			}
-			with = again
-			reload(&again)
-			slog.Info("operated", "file", operated)
-		}
-	}()
+	go life.Heed(signals, operated, with, func() { r.Hand(r.Leave) }, reload)
 	r.Serve()
 	// The last answers lie in the kernel's hands by now; a moment for the gossip's last word.
 	time.Sleep(10 * time.Millisecond)
--- a/internal/operator/drill.go
+++ b/internal/operator/drill.go
@@ -12,8 +12,10 @@
 // Drill is a script for a rehearsal: so many processes, a load, and what is done to them.
 type Drill struct {
 	Path      string
-	Processes int // instances
+	Keep      bool // what the processes logged, also if all held
+	Processes int  // instances
 	Relays    int
+	Desks     int // each beside a service of its own
 	Seeds     int // how many of them the others are told of
 	Stubs     int
 	Seed      uint64
@@ -27,9 +29,23 @@
 	Releases  []string
 	Relaying  [][2]string // names and values for each relay's section [relay]
 	Members   [][2]string // names and values for each process's section [fleet]
+	Calling   [][2]string // for each instance's section [below]
+	Granting  [][2]string // for each desk's section [grants]
+	Handing   [][2]string // for each instance's section [handover]; nil: nothing is handed over
+	Hands     bool
+	Takes     time.Duration // that a call takes at a service
+	Even      DrillEven
 	Faults    []DrillFault
 }
 
+// DrillEven is how evenly load has to be spread, while nothing is done and Back after it.
+type DrillEven struct {
+	On   bool
+	Most float64       // the most loaded of a second, of what pure chance gives the most loaded under a perfect balancer
+	Idle float64       // the longest that one waits for an op, in expected gaps
+	Back time.Duration // after something was done or undone
+}
+
 // DrillFault is one thing that is done, to links or to processes.
 type DrillFault struct {
 	Name          string
@@ -47,7 +63,7 @@
 	Refuses       bool // ops may be without an answer while it lasts
 }
 
-// Group names processes, relays behind the instances. Kind is all, relays, instances, rest (none of the other end), zone, release, process, first, draw.
+// Group names processes, relays behind the instances, desks behind both. Kind is all, relays, instances, desks, rest (none of the other end), zone, release, process, first, draw.
 type Group struct {
 	Kind  string
 	Name  string
@@ -61,18 +77,27 @@
 	ProcessFaults = []string{"kill", "wipe", "pause", "restart", "replace", "leave", "late-runtime", "keys", "seeds", "flood"}
 )
 
-// LoadDrill reads a script. The error is a fault.List with all that is wrong.
-func LoadDrill(path string) (Drill, error) {
+// LoadDrill reads a script; set holds values in place of its own, each as section.name=value. The error is a fault.List with all that is wrong.
+func LoadDrill(path string, set ...string) (Drill, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Drill{}, fault.List{{File: path, Want: "can't be read: " + err.Error()}}
 	}
-	return ParseDrill(path, text)
+	return ParseDrill(path, text, set...)
 }
 
 // ParseDrill reads a script's text; path is what its faults name.
-func ParseDrill(path string, text []byte) (Drill, error) {
+func ParseDrill(path string, text []byte, set ...string) (Drill, error) {
 	r := read(path, text)
+	for _, x := range set {
+		name, value, whole := strings.Cut(x, "=")
+		at := strings.LastIndexByte(name, '.')
+		if !whole || at < 0 || r.ini == nil {
+			r.wrong("", "", x, "wants section.name=value")
+			continue
+		}
+		r.ini.Section(name[:at]).Key(name[at+1:]).SetValue(value)
+	}
 	d := Drill{Path: path, Processes: 20, Seeds: 1, Stubs: 8, Seed: 1, For: 30 * time.Second, Start: time.Second, Settle: 20 * time.Second,
 		Rate: 100, Mean: 5 * time.Millisecond, MemoryMB: 64, Zones: []string{"a"}, Releases: []string{"1"}}
 	s := r.section("drill")
@@ -81,6 +106,9 @@
 	}
 	s.count("processes", &d.Processes, 2, 1000)
 	s.count("relays", &d.Relays, 0, 1000)
+	s.count("desks", &d.Desks, 0, 100)
+	d.Takes = 5 * time.Millisecond
+	s.span("calls-take", &d.Takes, 0, time.Minute)
 	s.count("seed-processes", &d.Seeds, 1, d.Processes)
 	s.count("stubs", &d.Stubs, 1, 1000)
 	seed := 1
@@ -99,18 +127,23 @@
 		d.Releases = all
 	}
 	s.close()
-	if m := r.section("members"); m.given() {
-		for _, key := range m.keys.KeyStrings() {
-			v, _ := m.value(key)
-			d.Members = append(d.Members, [2]string{key, v})
+	for name, to := range map[string]*[][2]string{"members": &d.Members, "relaying": &d.Relaying, "calling": &d.Calling, "granting": &d.Granting, "handing": &d.Handing} {
+		m := r.section(name)
+		if !m.given() {
+			continue
 		}
-	}
-	if m := r.section("relaying"); m.given() {
+		d.Hands = d.Hands || name == "handing"
 		for _, key := range m.keys.KeyStrings() {
 			v, _ := m.value(key)
-			d.Relaying = append(d.Relaying, [2]string{key, v})
+			*to = append(*to, [2]string{key, v})
 		}
 	}
+	e := r.section("even")
+	d.Even = DrillEven{On: e.given(), Most: 1.25, Idle: 5, Back: 3 * time.Second}
+	e.number("most", &d.Even.Most, 0.1, 1000)
+	e.number("idle", &d.Even.Idle, 0.1, 1000)
+	e.span("back", &d.Even.Back, 0, time.Hour)
+	e.close()
 	for _, f := range r.named("fault") {
 		d.Faults = append(d.Faults, f.drillFault(&d))
 	}
@@ -178,7 +211,7 @@
 	g.Kind, g.Name = kind, rest
 	ok := false
 	switch kind {
-	case "all", "rest", "relays", "instances":
+	case "all", "rest", "relays", "instances", "desks":
 		ok = rest == ""
 	case "zone":
 		for _, z := range d.Zones {
@@ -195,10 +228,10 @@
 		if !part {
 			g.Share = 0
 		}
-		ok = err == nil && n >= 0 && (part && kind == "draw" && n <= 100 || !part && n <= d.Processes+d.Relays)
+		ok = err == nil && n >= 0 && (part && kind == "draw" && n <= 100 || !part && n <= d.Processes+d.Relays+d.Desks)
 	}
 	if !ok {
-		s.wrong(name, v, "wants all, rest, relays, instances, zone NAME, release NAME, process N, first N, draw N or draw N%")
+		s.wrong(name, v, "wants all, rest, relays, instances, desks, zone NAME, release NAME, process N, first N, draw N or draw N%")
 	}
 	return g
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,10 @@
 	AMQP    AMQP
 	Fleet   Fleet
 	Relay   Relay
+
+	Below    Below
+	Grants   Grants
+	HandOver HandOver
 }
 
 // Callers is who may do what. It is on if the file has any section that speaks of callers.
@@ -89,6 +93,7 @@
 	f.AMQP = r.amqp()
 	f.Fleet = r.fleet()
 	f.Relay = r.relay(&f.Fleet)
+	f.Below, f.Grants, f.HandOver = r.below(&f.Fleet), r.grants(&f.Fleet), r.handover(&f.Fleet)
 	f.Callers.On = f.Callers.On || f.Tokens.On || f.TLS.On
 	r.close("caller", "queue", "role")
 	return f, r.faults.Err()
--- a/internal/operator/relay.go
+++ b/internal/operator/relay.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"lanewheel/internal/pass"
 	"lanewheel/internal/relay"
 	"lanewheel/internal/spread"
 )
@@ -15,7 +16,7 @@
 }
 
 func (r *reader) relay(f *Fleet) Relay {
-	t := Relay{Told: relay.Told{Spread: spread.Usual(), Asks: 2, Most: 4096, Connections: 2, Unused: 30 * time.Second, Grace: 500 * time.Millisecond}}
+	t := Relay{Told: relay.Told{Told: pass.Told{Spread: spread.Usual(), Asks: 2, Connections: 2, Unused: 30 * time.Second}, Most: 4096, Grace: 500 * time.Millisecond}}
 	s := r.section("relay")
 	t.On = s.given()
 	if t.On && !f.On {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"lanewheel/choice"
 	"lanewheel/internal/keep"
 	"lanewheel/internal/members"
+	"lanewheel/internal/pass"
 	"lanewheel/internal/spread"
 	"lanewheel/internal/standin"
 )
@@ -116,7 +117,7 @@
 	listen := free.Addr().String()
 	free.Close()
 	roster := standin.NewRoster()
-	told := Told{Spread: spread.Usual(), Most: 100, Connections: 2, Unused: time.Minute, Grace: 500 * time.Millisecond, After: 90 * time.Millisecond}
+	told := Told{Told: pass.Told{Spread: spread.Usual(), Connections: 2, Unused: time.Minute}, Most: 100, Grace: 500 * time.Millisecond, After: 90 * time.Millisecond}
 	told.Spread.Retry = 1
 	kind := func(name, repeats string) choice.Facts {
 		return choice.Facts{"name": name, "repeats": repeats, "op timeout": 3 * time.Second, "target latency": time.Second}
@@ -274,15 +275,15 @@
 		what         spread.Outcome
 		unsent, last bool
 	}{
-		{spread.Try{Due: time.Second, Tries: 1}, spread.Served, false, false},
-		{spread.Try{Due: time.Second, Tries: 1}, spread.Refused, false, false},
-		{spread.Try{Due: time.Second, Tries: 1}, spread.Refused, false, true},
-		{spread.Try{Due: 0, Tries: 1}, spread.Refused, false, false},
-		{spread.Try{Due: time.Second, Tries: 3}, spread.Refused, false, false},
-		{spread.Try{Due: time.Second, Tries: 1}, spread.Lost, false, false},
-		{spread.Try{Due: time.Second, Tries: 1, Repeats: true}, spread.Lost, false, false},
-		{spread.Try{Due: time.Second, Tries: 1}, spread.Lost, true, false},
-		{spread.Try{Due: time.Second, Tries: 1, Repeats: true}, spread.Failed, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1}, spread.Served, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1}, spread.Refused, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1}, spread.Refused, false, true},
+		{spread.Try{Due: 0, Most: 3, Tries: 1}, spread.Refused, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 3}, spread.Refused, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1}, spread.Lost, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1, Repeats: true}, spread.Lost, false, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1}, spread.Lost, true, false},
+		{spread.Try{Due: time.Second, Most: 3, Tries: 1, Repeats: true}, spread.Failed, false, false},
 	} {
 		c := spread.New(told)
 		fmt.Print(c.Next(time.Millisecond, x.t, x.what, x.unsent, x.last) == spread.Again, " ")
--- a/internal/spread/again.go
+++ b/internal/spread/again.go
@@ -6,7 +6,9 @@
 type Try struct {
 	Due     time.Duration
 	Tries   int  // that were made
+	Most    int  // that may be made
 	Repeats bool // it may run twice
+	Passed  bool // another process has passed it on to us, and tries again by itself
 }
 
 // Step is what comes next of an op.
@@ -17,9 +19,6 @@
 	Again             // another member is asked
 )
 
-// mostTries is how many members an op is given to at the most. Two that are full one after the other are a full fleet.
-const mostTries = 3
-
 // Next decides what becomes of an op whose try has ended. unsent tells that nothing of it went out. What proves that the op never ran
 // lets another be asked, within the budget and while there is time for an op as it usually takes; what proves nothing lets one that
 // may run twice be tried again and is an honest failure of one that may not.
@@ -29,10 +28,10 @@
 		return Pass
 	case what == Lost && !unsent && !t.Repeats:
 		return Pass
-	case t.Tries >= mostTries || now+time.Duration(c.usual*float64(time.Second)) >= t.Due:
+	case t.Tries >= t.Most || now+time.Duration(c.usual*float64(time.Second)) >= t.Due:
 		return Pass
 	// Where nothing went out nobody below has had work by it, so it costs no budget.
-	case !unsent && !c.Second(false):
+	case !unsent && !c.Second(t.Passed):
 		return Pass
 	}
 	return Again
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -66,6 +66,9 @@
 	if a.Token != "" {
 		put("token", a.Token)
 	}
+	if a.Passed > 0 {
+		put("passed", strconv.Itoa(a.Passed))
+	}
 	c.put(appendBin(b, a.Body))
 }
 
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -42,6 +42,8 @@
 
 	// Tokens tells whether stubs may bring tokens; else the field is passed over as others that are not known.
 	Tokens atomic.Bool
+	// Passed tells whether it is read how many processes have passed an op on.
+	Passed atomic.Bool
 
 	engine *nbio.Engine
 	gates  []*gate
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -165,6 +165,9 @@
 	return r.at, call, ""
 }
 
+// mostPassed is how many processes an op may say to have come by: two are usual, so what says more goes in a circle.
+const mostPassed = 8
+
 // mostBody is the longest body that an op may have.
 const mostBody = 2 << 10
 
@@ -217,6 +220,16 @@
 				s.token = string(text)
 			}
 			ask.Token = s.token
+		case "passed":
+			if !s.net.Passed.Load() {
+				r.skip(0)
+				break
+			}
+			if n := r.whole(); n < 0 || n > mostPassed {
+				r.bad = true
+			} else {
+				ask.Passed = int(n)
+			}
 		case "deep":
 			deep = r.number() == 1
 		default:
