--- a/internal/below/below.go
+++ b/internal/below/below.go
@@ -91,7 +91,7 @@
 		here[name] = true
 		s := p.all[name]
 		if s == nil {
-			s = &service{p: p, name: name, holder: &grants.Holder{Who: p.self, Alone: p.told.Calls, Longest: p.told.Longest}}
+			s = &service{p: p, name: name, holder: &grants.Holder{Who: p.self, Most: p.told.Calls, Longest: p.told.Longest}}
 			p.all[name] = s
 		}
 		s.addr, s.life = m.Serves, m.Life
--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -10,9 +10,10 @@
 // Holder is one process's side of a desk. It belongs to one goroutine.
 type Holder struct {
 	Who members.ID
-	// Calls at a time that may be made without a grant, and how long one may last, as told here or by the desk, whichever is less.
-	Alone   int
-	Longest time.Duration
+	Most    int           // calls at a time that may be made without a grant, as told here
+	Longest time.Duration // that one may last, as told here or by the desk, whichever is less
+	// Alone is how many may be made without a grant, once the desk has said so. Danger: who has not heard yet what is set aside makes none.
+	Alone int
 
 	has    Has
 	until  time.Duration
@@ -96,7 +97,7 @@
 	if was.seq != g.Seq || was.desk != g.Desk || g.Desk == h.has.Desk && g.Seq <= h.has.Seq || g.Seq <= h.has.Seq || g.Limit < 0 || g.Holds <= 0 {
 		return false
 	}
-	h.Alone = min(h.Alone, max(0, g.Alone))
+	h.Alone = min(h.Most, max(0, g.Alone))
 	if g.Longest > 0 {
 		h.Longest = min(h.Longest, g.Longest)
 	}
--- a/internal/life/callers.go
+++ b/internal/life/callers.go
@@ -180,7 +180,7 @@
 		return map[string]string{"callers": strconv.FormatBool(o.Callers != nil), "tls.listen": t.Listen,
 			"tls.handshakes": strconv.Itoa(t.Handshakes), "tls.handshake-rate": fmt.Sprint(t.Rate), "log.format": o.File.Log.Format, "amqp": o.File.AMQP.Fixed(),
 			"fleet": fixedFleet(&o.File.Fleet), "relay": fmt.Sprint(o.File.Relay),
-			"below": fmt.Sprint(o.File.Below), "grants": fmt.Sprint(o.File.Grants.On, o.File.Grants.Lock), "handover": fmt.Sprint(o.File.HandOver.On, o.File.HandOver.Told.Told)}
+			"below": fmt.Sprint(o.File.Below), "grants": fmt.Sprint(o.File.Grants.On, o.File.Grants.Lock, o.File.Grants.Told.Alone, o.File.Grants.Told.Processes), "handover": fmt.Sprint(o.File.HandOver.On, o.File.HandOver.Told.Told)}
 	}
 	is, was := of(o), of(before)
 	for _, name := range slices.Sorted(maps.Keys(is)) {
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -37,6 +37,43 @@
 	// keys:3: stands there already (and 1 more)
 }
 
+// The shipped files of services below and of hand-over say what holds without them, but for their examples; what is wrong is said whole.
+func Example_below() {
+	const fleet = "[fleet]\nlisten = 127.0.0.1:7948\nkeys = k\nname = d\nserves = 127.0.0.1:1\n"
+	read := func(name string) File {
+		text, err := os.ReadFile("../../deploy/" + name)
+		if err != nil {
+			panic(err)
+		}
+		f, err := Parse(name, text)
+		fmt.Print(err, " ")
+		return f
+	}
+	shipped, over := read("below.ini"), read("handover.ini")
+	bare, err := Parse("x", []byte("[below]\n[grants]\ncap = 200\n[handover]\n"+fleet))
+	shipped.Below.Told.Addrs, shipped.Grants.Lock = nil, ""
+	bare.HandOver.Told.From = over.HandOver.Told.From
+	fmt.Println(err, fmt.Sprint(shipped.Below) == fmt.Sprint(bare.Below), shipped.Grants == bare.Grants, over.HandOver == bare.HandOver)
+	_, err = Parse("x", []byte("[below]\ncalls = some\n[grants]\ncap = 5\nalone = 1\n[handover]\nshare = 2\n"))
+	for _, f := range err.(fault.List) {
+		fmt.Println(f)
+	}
+	_, err = Parse("x", []byte("[grants]\nholds = 1ms\n"+fleet))
+	for _, f := range err.(fault.List) {
+		fmt.Println(f)
+	}
+	// Output:
+	// <nil> <nil> <nil> true true true
+	// x:1: below.services: wants addresses, or a section [fleet] by which members with the role below are known
+	// x:2: below.calls: is "some", wants a whole number from 0 to 100000
+	// x:3: grants: wants a section [fleet], by which the holders are known
+	// x:5: grants.alone: leaves nothing to be granted: cap is no more than alone times processes
+	// x:6: handover: wants a section [fleet], by which it knows the members
+	// x:7: handover.share: is "2", wants a number from 0 to 1
+	// x:1: grants.cap: wants the calls at a time that the service takes
+	// x:2: grants.holds: is "1ms", wants a time from 200ms to 1m0s, as 1m30s
+}
+
 // The shipped file of a relay says what holds without it.
 func Example_relay() {
 	text, err := os.ReadFile("../../deploy/relay.ini")
