Stewards: drains and releases by permits that the fleet agrees on, over a replicated log

Need: drains and releases agreed across the fleet, never too many out at once, with a halt and a way back. The one that leads says what membership sees, nudges holders, runs the operator's command for who is out, judges waves by figures that it asks members for. An instance with permits = yes begins by a word that is agreed on and leaves when it hears that it was. Commands drain, release, fleet. Rehearsals with stewards, operators' commands and bad releases; runtimes that are slow, fail or lose runs; bursts. The gossip's packets go out each 100 ms instead of 150: 120 newcomers at one moment among 240 were still not known to be ready after 10 s.

--- a/cmd/lanewheel/main_test.go
+++ b/cmd/lanewheel/main_test.go
@@ -678,7 +678,7 @@
 	// 0 good.ini: good
 	// 1 bad.ini:2: log.format: is "xml", wants one of json, text
 	// bad.ini:3: log.formt: is no name of this section; wants format
-	// bad.ini:5: lgo: is no section; wants amqp, below, caller NAME, callers, fleet, grants, handover, log, queue NAME, relay, role NAME, tls, tokens
+	// bad.ini:5: lgo: is no section; wants amqp, below, caller NAME, callers, fleet, grants, handover, log, queue NAME, relay, role NAME, steward, tls, tokens
 	// bad.ini:6: log: stands in line 1 already
 	// 1 bad.json: roster: wants text
 	// bad.json:3: limits.cores: is "-1", wants a number over 0
--- a/internal/accord/release.go
+++ b/internal/accord/release.go
@@ -51,6 +51,9 @@
 	Why    string
 }
 
+// For tells whether a release is meant for a member, whichever it has now.
+func (r *Release) For(m Seen) bool { return r.Plan.Of.has(m) }
+
 // Running tells whether a release is on its way.
 func (r *Release) Running() bool {
 	return r != nil && (r.Phase == Going || r.Phase == Judging || r.Phase == Backing)
--- /dev/null
+++ b/internal/command/agree.go
@@ -0,0 +1,166 @@
+package command
+
+import "io"
+
+// Agree is what an operator asks the stewards.
+type Agree struct {
+	File   string // the operator's file with the section [steward], or [fleet] and the stewards' addresses in it
+	Do     string // status, history, drain, undrain, forget, halt, resume, budgets, release, back, leave
+	Name   string
+	Zone   string
+	Below  string
+	Path   string // of budgets, a release, or where history goes
+	Why    string
+	By     string
+	JSON   bool
+	Wait   bool
+	Number uint64
+}
+
+// asking is what all of these commands take.
+type asking struct {
+	Operator string `help:"Operator's file (INI) whose section [steward] names the stewards and whose [fleet] the keys." placeholder:"FILE" type:"path" required:""`
+	By       string `help:"Who gives the command, as the history is to have it." default:"${user}"`
+}
+
+func (a asking) ask(o output, g Agree) error {
+	if linked == nil {
+		return over(sibling)
+	}
+	g.File, g.By = a.Operator, a.By
+	return linked.Agree(g, o.out)
+}
+
+// stewardCommand is one of those that hold what the fleet has agreed.
+type stewardCommand struct {
+	Operator string `help:"Operator's file (INI) with the sections [fleet] and [steward]." placeholder:"FILE" type:"path" required:""`
+	Begin    bool   `help:"Begin a new fleet: once, on one steward. Where there is a state already it changes nothing."`
+	Log      string `help:"Form of the log: text or json. Without it the operator's file says." enum:"text,json," default:""`
+}
+
+func (c *stewardCommand) Run() error {
+	if linked == nil || linked.Steward == nil {
+		return over(withStewards)
+	}
+	return started(linked.Steward(c.Operator, c.Log, c.Begin))
+}
+
+// drainCommand asks for leave to go out, and waits for it.
+type drainCommand struct {
+	asking
+	Name  string `arg:"" optional:"" help:"A member."`
+	Zone  string `help:"All that are up in a zone, one after the other as the budgets let them."`
+	Below string `help:"The desk beside a service below, so that the service can be taken out."`
+	Drop  bool   `help:"Take back what has been asked for and has not begun."`
+	Wait  bool   `help:"Say how it goes until all are out." default:"true" negatable:""`
+}
+
+func (c *drainCommand) Run(o output) error {
+	do := "drain"
+	if c.Drop {
+		do = "undrain"
+	}
+	return c.ask(o, Agree{Do: do, Name: c.Name, Zone: c.Zone, Below: c.Below, Wait: c.Wait && !c.Drop})
+}
+
+// releaseCommand brings a release out in waves.
+type releaseCommand struct {
+	Start  releaseStart  `cmd:"" help:"Start one."`
+	Status releaseStatus `cmd:"" help:"How far it is, and what it waits for."`
+	Halt   releaseHalt   `cmd:"" help:"Nothing further begins, anywhere."`
+	Resume releaseResume `cmd:"" help:"Go on."`
+	Back   releaseBack   `cmd:"" help:"The way back: waves in reverse, under the same budgets."`
+}
+
+type releaseStart struct {
+	asking
+	File string `arg:"" help:"An INI with a section [release]: docs/operating/releases.md names all that may stand in it." type:"path"`
+}
+
+func (c *releaseStart) Run(o output) error { return c.ask(o, Agree{Do: "release", Path: c.File}) }
+
+type releaseStatus struct {
+	asking
+	JSON bool `name:"json"`
+}
+
+func (c *releaseStatus) Run(o output) error { return c.ask(o, Agree{Do: "status", JSON: c.JSON}) }
+
+type releaseHalt struct {
+	asking
+	Why string `arg:"" optional:"" help:"Why, for the history."`
+}
+
+func (c *releaseHalt) Run(o output) error { return c.ask(o, Agree{Do: "halt", Why: c.Why}) }
+
+type releaseResume struct{ asking }
+
+func (c *releaseResume) Run(o output) error { return c.ask(o, Agree{Do: "resume"}) }
+
+type releaseBack struct {
+	asking
+	Why string `arg:"" optional:"" help:"Why, for the history."`
+}
+
+func (c *releaseBack) Run(o output) error { return c.ask(o, Agree{Do: "back", Why: c.Why}) }
+
+// fleetCommand shows and changes what is agreed.
+type fleetCommand struct {
+	Status  releaseStatus `cmd:"" help:"Who is out, why and since when; budgets, permits and what each waits for."`
+	History fleetHistory  `cmd:"" help:"Every command, who gave it and what became of it."`
+	Budgets fleetBudgets  `cmd:"" help:"Put budgets in force, all of a file in place of all that were."`
+	Forget  fleetForget   `cmd:"" help:"A member that does not come back counts no more."`
+	Leave   fleetLeave    `cmd:"" help:"Take a steward out of those that agree, for good."`
+}
+
+type fleetHistory struct {
+	asking
+	JSON    bool   `name:"json"`
+	Parquet string `help:"Write it as Parquet." placeholder:"FILE" type:"path"`
+}
+
+func (c *fleetHistory) Run(o output) error {
+	return c.ask(o, Agree{Do: "history", JSON: c.JSON, Path: c.Parquet})
+}
+
+type fleetBudgets struct {
+	asking
+	File string `arg:"" help:"An INI with sections [budget NAME]." type:"path"`
+}
+
+func (c *fleetBudgets) Run(o output) error { return c.ask(o, Agree{Do: "budgets", Path: c.File}) }
+
+type fleetForget struct {
+	asking
+	Name string `arg:""`
+}
+
+func (c *fleetForget) Run(o output) error { return c.ask(o, Agree{Do: "forget", Name: c.Name}) }
+
+type fleetLeave struct {
+	asking
+	Name string `arg:""`
+}
+
+func (c *fleetLeave) Run(o output) error { return c.ask(o, Agree{Do: "leave", Name: c.Name}) }
+
+// hookCommand tells a rehearsal to start a member anew: it is what the rehearsal tells its stewards to run.
+type hookCommand struct {
+	Socket  string `arg:""`
+	Name    string `arg:""`
+	Release string `arg:"" optional:""`
+}
+
+func (c *hookCommand) Run(o output) error {
+	if linked == nil {
+		return over(sibling)
+	}
+	return linked.Hook(c.Socket, c.Name, c.Release, o.out)
+}
+
+// Agreeing is what a program brings that can ask the stewards, or be one.
+type Agreeing struct {
+	Agree   func(a Agree, out io.Writer) error
+	Steward func(operated, format string, begin bool) error
+	Hook    func(socket, name, release string, out io.Writer) error
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -26,6 +26,11 @@
 
 	Relay   relayCommand   `cmd:"" help:"Pass ops on to the instances of a fleet."`
 	Desk    deskCommand    `cmd:"" help:"Stand beside a service below, and grant the fleet its calls."`
+	Steward stewardCommand `cmd:"" help:"Hold what the fleet has agreed, with the other stewards."`
+	Drain   drainCommand   `cmd:"" help:"Ask for leave to take a member out, and wait for its turn."`
+	Release releaseCommand `cmd:"" help:"Bring a release out in waves, halt it, bring it back."`
+	Fleet   fleetCommand   `cmd:"" help:"Show and change what the fleet has agreed."`
+	Hook    hookCommand    `cmd:"" hidden:""`
 	Members membersCommand `cmd:"" help:"Show how a running process sees its fleet, and how far views differ."`
 	Drill   drillCommand   `cmd:"" help:"Start many processes, break what lies between them by a script, and judge."`
 }
@@ -46,6 +51,7 @@
 	code := -1
 	parser, err := kong.New(&l, kong.Name("lanewheel"), kong.Writers(out, errs), kong.Exit(func(c int) { code = c }),
 		kong.Description("Admission and scheduling decisions for servers behind other people's balancers."),
+		kong.Vars{"user": user()},
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.UsageOnError())
 	if err != nil {
 		panic(err) // the tags above are wrong, which every run would show
@@ -69,6 +75,16 @@
 	}
 }
 
+// user is who gives a command, as far as that shows.
+func user() string {
+	for _, name := range []string{"SUDO_USER", "USER", "LOGNAME"} {
+		if v := os.Getenv(name); v != "" {
+			return v
+		}
+	}
+	return "operator"
+}
+
 // serveCommand is one instance, as the platform starts it.
 type serveCommand struct {
 	Operator string `help:"Operator's file (INI); read again at SIGHUP." placeholder:"FILE" type:"path"`
@@ -85,7 +101,7 @@
 func serve(operated, format string) int {
 	err := life.Live(os.Getenv("RELAY_CONFIG"), operated, format)
 	if errors.Is(err, life.ErrFleet) {
-		err = over()
+		err = over(sibling)
 	}
 	if started(err) != nil {
 		return 1
--- /dev/null
+++ b/internal/command/further/agree.go
@@ -0,0 +1,253 @@
+package further
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/parquet-go/parquet-go"
+
+	"lanewheel/internal/accord"
+	"lanewheel/internal/command"
+	"lanewheel/internal/fleet/steward/ask"
+	"lanewheel/internal/life"
+	"lanewheel/internal/operator"
+)
+
+// agree asks the stewards, and prints what they say.
+func agree(a command.Agree, out io.Writer) error {
+	o, err := life.Operate(a.File)
+	if err != nil {
+		return err
+	}
+	if !o.File.Steward.On || len(o.ClusterKeys) == 0 {
+		return fmt.Errorf("%s: wants the sections [fleet], with keys, and [steward]", a.File)
+	}
+	k := ask.Client{Stewards: o.File.Steward.Told.Others, Keys: o.ClusterKeys, Limit: 20 * time.Second}
+	show := func(v any) error {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	switch a.Do {
+	case "status":
+		got, err := k.Ask(ask.Question{Status: true})
+		if err != nil {
+			return err
+		}
+		if a.JSON {
+			return show(got.Status)
+		}
+		return status(got.Status, out)
+	case "history":
+		got, err := k.Ask(ask.Question{History: true})
+		if err != nil {
+			return err
+		}
+		switch {
+		case a.Path != "":
+			return export(got.History, a.Path)
+		case a.JSON:
+			return show(got.History)
+		}
+		history(got.History, out)
+		return nil
+	case "leave":
+		got, err := k.Ask(ask.Question{Leave: a.Name})
+		if err == nil && got.Error != "" {
+			err = errors.New(got.Error)
+		}
+		return err
+	}
+	c, err := ordered(a)
+	if err != nil {
+		return err
+	}
+	// The same key however often it is asked: a steward that fails between agreeing and answering leaves no second permit behind.
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return err
+	}
+	c.Key = hex.EncodeToString(b[:])
+	got, err := k.Ask(ask.Question{Command: &c})
+	switch {
+	case err != nil:
+		return err
+	case got.Error != "":
+		return errors.New(got.Error)
+	case !got.Reply.OK:
+		return errors.New(got.Reply.Why)
+	}
+	numbers := got.Reply.Numbers
+	if got.Reply.Number > 0 {
+		numbers = append(numbers, got.Reply.Number)
+	}
+	fmt.Fprintln(out, "agreed", a.Do, numbers)
+	if a.Do == "drain" && a.Wait {
+		return wait(k, numbers, out)
+	}
+	return nil
+}
+
+// ordered is the command that an operator means.
+func ordered(a command.Agree) (c accord.Command, err error) {
+	c = accord.Command{By: a.By, Why: a.Why}
+	text := func() []byte {
+		b, bad := os.ReadFile(a.Path)
+		err = errors.Join(err, bad)
+		return b
+	}
+	switch a.Do {
+	case "drain", "undrain":
+		c.Do, c.Group, c.Why = accord.DoDrain, accord.Match{Zone: a.Zone, Below: a.Below}, "drain"
+		if a.Do == "undrain" {
+			c.Do = accord.DoUndrain
+		}
+		if a.Name != "" {
+			c.Member = accord.Name(a.Name)
+			if a.Do == "drain" {
+				c.Do = accord.DoAsk
+			}
+		}
+		if a.Name == "" && a.Zone == "" && a.Below == "" {
+			err = errors.New("wants a member, --zone or --below")
+		}
+	case "forget":
+		c.Do, c.Member = accord.DoForget, accord.Name(a.Name)
+	case "halt":
+		c.Do = accord.DoHalt
+	case "resume":
+		c.Do = accord.DoResume
+	case "back":
+		c.Do = accord.DoBack
+	case "budgets":
+		c.Do = accord.DoBudgets
+		b := text()
+		if err == nil {
+			c.Budgets, err = operator.ReadBudgets(a.Path, b)
+		}
+	case "release":
+		c.Do = accord.DoRelease
+		b := text()
+		if err == nil {
+			var p accord.Plan
+			p, err = operator.ReadPlan(a.Path, b)
+			c.Plan = &p
+		}
+	}
+	return c, err
+}
+
+// wait says how permits go until all have begun and their members are out, or are over.
+func wait(k ask.Client, numbers []accord.Number, out io.Writer) error {
+	said := map[accord.Number]string{}
+	for {
+		got, err := k.Ask(ask.Question{Status: true})
+		if err != nil {
+			return err
+		}
+		open := 0
+		for _, p := range got.Status.Permits {
+			if !slices.Contains(numbers, p.Number) {
+				continue
+			}
+			text := string(p.Stage)
+			if p.Waits != "" && p.Stage == accord.Queued {
+				text += ": " + p.Waits
+			}
+			gone := false
+			for _, m := range got.Status.Out {
+				if m.Name == p.Member && m.Why == accord.Gone {
+					text, gone = "out", p.Stage == accord.Begun
+				}
+			}
+			if !gone {
+				open++
+			}
+			if said[p.Number] != text {
+				said[p.Number] = text
+				fmt.Fprintf(out, "%s permit %d of %s: %s\n", time.Now().Format(time.TimeOnly), p.Number, p.Member, text)
+			}
+		}
+		if open == 0 {
+			return nil
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func status(s *ask.Status, out io.Writer) error {
+	fmt.Fprintf(out, "%s, term %d, entry %d of the log, led by %s, %d stewards, %d members, fleet's time %s\n", s.Steward, s.Term, s.Index, s.Leader, len(s.Others), s.Members, s.Now)
+	if s.Halted != nil {
+		fmt.Fprintf(out, "HALTED by %s: %s\n", s.Halted.By, s.Halted.Why)
+	}
+	if r := s.Release; r != nil {
+		fmt.Fprintf(out, "release %s to %s by %s: %s, wave %d of %d", r.Name, r.To, r.By, r.Phase, r.Wave+1, len(r.Of))
+		if r.Waits != "" {
+			fmt.Fprintf(out, ", waits: %s", r.Waits)
+		}
+		if r.Why != "" {
+			fmt.Fprintf(out, ", why: %s", r.Why)
+		}
+		fmt.Fprintln(out)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "budget\tof\tmembers\tout\tmay be\tup")
+	for _, u := range s.Uses {
+		fmt.Fprintf(w, "%s\t%v\t%d\t%d\t%d\t%g\n", u.Budget.Name, u.Budget.Of, u.Of, u.Out, u.Limit, u.Up)
+	}
+	fmt.Fprintln(w, "permit\tmember\tfor\tby\tstage\twaits for")
+	for _, p := range s.Permits {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", p.Number, p.Member, p.Why, p.By, p.Stage, p.Waits)
+	}
+	fmt.Fprintln(w, "out\twhy\tsince\trelease\tzone")
+	for _, m := range s.Out {
+		if m.Why != accord.Up {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\n", m.Name, m.Why, m.Since.Round(time.Second), m.Release, m.Zone)
+		}
+	}
+	return w.Flush()
+}
+
+func history(all []accord.Entry, out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "nth\tat\tby\tdid\twhat\tcame to")
+	for _, e := range all {
+		came := "agreed"
+		if !e.OK {
+			came = "refused"
+		}
+		if e.Why != "" {
+			came += ": " + e.Why
+		}
+		fmt.Fprintf(w, "%d\t%v\t%s\t%s\t%s\t%s\n", e.Nth, e.Now.Round(time.Millisecond), e.By, e.Do, e.What, came)
+	}
+	w.Flush()
+}
+
+// line is one command of the history, as it is exported.
+type line struct {
+	Nth    int64  `parquet:"nth"`
+	AtMS   int64  `parquet:"at_ms"`
+	By     string `parquet:"by,dict"`
+	Do     string `parquet:"do,dict"`
+	What   string `parquet:"what"`
+	Agreed bool   `parquet:"agreed"`
+	Why    string `parquet:"why"`
+	Number int64  `parquet:"number"`
+}
+
+func export(all []accord.Entry, path string) error {
+	var rows []line
+	for _, e := range all {
+		rows = append(rows, line{int64(e.Nth), e.Now.Milliseconds(), e.By, string(e.Do), e.What, e.OK, e.Why, int64(e.Number)})
+	}
+	return parquet.WriteFile(path, rows)
+}
--- /dev/null
+++ b/internal/command/further/agreed/agreed.go
@@ -0,0 +1,32 @@
+// Package agreed adds the steward to the commands of the program that has its log linked.
+package agreed
+
+import (
+	"os"
+
+	"lanewheel/internal/command"
+	"lanewheel/internal/command/further"
+	"lanewheel/internal/fleet/gossip"
+	"lanewheel/internal/life"
+	"lanewheel/internal/life/stewards"
+	"lanewheel/internal/members"
+)
+
+// Parts adds to what lanewheel-fleet has.
+func Parts(p command.Parts) command.Parts {
+	p.Steward = func(operated, format string, begin bool) error {
+		return stewards.Live(operated, format, begin, func(process gossip.Process, o *life.Operated) (*gossip.Part, func(*life.Operated), error) {
+			as := func(o *life.Operated) gossip.Told {
+				f := o.File.Fleet
+				f.Roles = members.Steward
+				return further.Told(&f, "", "", o.ClusterKeys)
+			}
+			part, err := gossip.New(as(o), process, uint64(os.Getpid()))
+			if err != nil {
+				return nil, nil, err
+			}
+			return part, func(o *life.Operated) { part.Put(as(o)) }, nil
+		})
+	}
+	return p
+}
--- a/internal/command/further/further.go
+++ b/internal/command/further/further.go
@@ -36,11 +36,11 @@
 
 // Parts is all that lanewheel-fleet has beside lanewheel.
 func Parts() command.Parts {
-	return command.Parts{Joins: join, Relay: relayed, Desk: desked, Members: show, Drill: rehearse, Show: shown, Differ: differ}
+	return command.Parts{Joins: join, Relay: relayed, Desk: desked, Members: show, Drill: rehearse, Show: shown, Differ: differ, Agreeing: command.Agreeing{Agree: agree, Hook: drill.Hooked}}
 }
 
-// told puts together what the part goes by.
-func told(f *operator.Fleet, name, serves string, keys []members.Key) gossip.Told {
+// Told puts together what the part goes by.
+func Told(f *operator.Fleet, name, serves string, keys []members.Key) gossip.Told {
 	if f.Name != "" {
 		name = f.Name
 	}
@@ -48,12 +48,12 @@
 		serves = f.Serves
 	}
 	return gossip.Told{Name: members.Name(name), Cluster: f.Cluster, Listen: f.Listen, Advertise: f.Advertise, Serves: serves, Roles: f.Roles, Zone: f.Zone, Release: f.Release,
-		Capacity: f.Capacity, Warm: f.Warm, Keys: keys, Probe: f.Probe, Rate: f.Rate, Watch: f.Watch, Leaves: f.Leaves, Members: f.Told}
+		Capacity: f.Capacity, Warm: f.Warm, Keys: keys, Probe: f.Probe, Rate: f.Rate, Watch: f.Watch, Leaves: f.Leaves, Permits: f.Permits, Members: f.Told}
 }
 
 // join brings an instance into its fleet.
 func join(in *keep.Instance, config keep.Told, o *life.Operated) (func(*life.Operated), error) {
-	part, err := gossip.New(told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys), &instance{in}, config.Seed)
+	part, err := gossip.New(Told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys), &instance{in}, config.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +76,7 @@
 	in.Attach(part)
 	slog.Info("fleet", "name", string(part.View().Self.Name), "listen", o.File.Fleet.Listen, "seeds", len(o.File.Fleet.Told.Seeds), "keys", len(o.ClusterKeys))
 	return func(o *life.Operated) {
-		part.Put(told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys))
+		part.Put(Told(&o.File.Fleet, config.Name, config.Listen, o.ClusterKeys))
 		if over != nil {
 			in.Hand(func() { over.Put(o.File.HandOver.Told) })
 		}
@@ -98,16 +98,25 @@
 	})
 }
 
-func (i *instance) Load(then func(float64)) {
+func (i *instance) Load(then func(float64, gossip.Figures)) {
 	i.in.Hand(func() {
+		f := i.in.Figures()
+		figures := gossip.Figures{Done: float64(f.Done), Well: float64(f.Well), Took: f.Took.Seconds()}
 		if l := i.in.Load(); l.Held+l.Running > 0 {
-			then(float64(l.Held + l.Running))
+			then(float64(l.Held+l.Running), figures)
 		} else {
-			then(spread.Idle(l.Idle))
+			then(spread.Idle(l.Idle), figures)
 		}
 	})
 }
 
+func (i *instance) Drain(number uint64) {
+	i.in.Hand(func() {
+		slog.Info("permitted", "permit", number)
+		i.in.Leave()
+	})
+}
+
 func (i *instance) Fenced() { i.in.Hand(i.in.Leave) }
 
 // desked runs a desk.
@@ -116,7 +125,7 @@
 		as := func(o *life.Operated) gossip.Told {
 			f := o.File.Fleet
 			f.Roles = members.Below
-			return told(&f, "", "", o.ClusterKeys)
+			return Told(&f, "", "", o.ClusterKeys)
 		}
 		part, err := gossip.New(as(o), d, uint64(os.Getpid()))
 		if err != nil {
@@ -137,7 +146,7 @@
 		fleet := o.File.Fleet
 		fleet.Roles = fleet.Roles&^members.Instance | members.Relay
 		speaks := &relaying{}
-		part, err := gossip.New(told(&fleet, config.Name, config.Listen, o.ClusterKeys), speaks, config.Seed)
+		part, err := gossip.New(Told(&fleet, config.Name, config.Listen, o.ClusterKeys), speaks, config.Seed)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -152,7 +161,7 @@
 		return r, func(o *life.Operated) {
 			f := o.File.Fleet
 			f.Roles = fleet.Roles
-			part.Put(told(&f, config.Name, config.Listen, o.ClusterKeys))
+			part.Put(Told(&f, config.Name, config.Listen, o.ClusterKeys))
 		}, nil
 	})
 }
@@ -189,8 +198,11 @@
 	})
 }
 
-func (p *relaying) Load(then func(float64)) { p.r.Hand(func() { then(float64(p.r.Load().Running)) }) }
-func (p *relaying) Fenced()                 { p.r.Hand(p.r.Leave) }
+func (p *relaying) Load(then func(float64, gossip.Figures)) {
+	p.r.Hand(func() { then(float64(p.r.Load().Running), gossip.Figures{}) })
+}
+func (p *relaying) Fenced()      { p.r.Hand(p.r.Leave) }
+func (p *relaying) Drain(uint64) { p.r.Hand(p.r.Leave) }
 
 // show prints how a process sees its fleet, and how far others' views are from its.
 func show(f operator.Fleet, against []string, asJSON bool, out io.Writer) error {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -37,6 +37,9 @@
 		return nil, err
 	}
 	defer w.close()
+	if d.Stewards > 0 {
+		w.binary = filepath.Join(filepath.Dir(binary), "lanewheel-steward") // it has all that the others have
+	}
 	var mu sync.Mutex
 	var broken, fallen []Violation
 	first := time.Now()
@@ -45,8 +48,14 @@
 		defer mu.Unlock()
 		fallen = append(fallen, Violation{time.Since(first), "nothing falls over", what})
 	}
+	w.say = func(line string) { fmt.Fprintln(out, line) }
 	h := &history{ops: map[string]*asked{}}
 	w.heard = h.ran
+	if d.Stewards > 0 {
+		if err := w.stewarding(); err != nil {
+			return nil, err
+		}
+	}
 	events := Timeline(d)
 	for _, e := range events {
 		fmt.Fprintln(out, e)
@@ -121,6 +130,10 @@
 			w.failed(fmt.Sprintf("%s: %d calls at a time, the cap is %d", s.name, most, s.cap))
 		}
 	}
+	if d.Stewards > 0 {
+		f, v := w.agreed()
+		figures, broken = append(figures, f...), append(broken, v...)
+	}
 	even, odd := evenness(w, h, events, began, ended)
 	figures, broken = append(figures, even...), append(broken, odd...)
 	sum := w.links.sum()
@@ -227,7 +240,7 @@
 		}
 	}
 	const each = 24 // MB: what a process was seen to hold with 300 members, the pages of its own and a share of the binary's
-	need := float64(d.Processes+d.Relays+d.Desks)*each + 200
+	need := float64(d.Processes+d.Relays+d.Desks+d.Stewards)*each + 200
 	fmt.Fprintf(out, "%d processes, %d relays and %d desks, some %.0f MB of %.0f free, %d cores, seed %d, from %s\n", d.Processes, d.Relays, d.Desks, need, free, runtime.NumCPU(), d.Seed, filepath.Base(d.Path))
 	if need > free {
 		return fmt.Errorf("%d processes take some %.0f MB, and %.0f are free", d.Processes, need, free)
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -67,13 +67,13 @@
 	}
 	// Output:
 	// x.ini:2: drill.processes: is "1", wants a whole number from 2 to 1000
-	// x.ini:3: drill.speed: is no name of this section; wants calls-take, desks, for, mean, memory-mb, processes, rate, relays, releases, seed, seed-processes, settle, start, stubs, zones
-	// x.ini:5: fault a.do: is "explode", wants one of delay, duplicate, flood, garble, half-close, keys, kill, late-runtime, leave, lose, narrow, pause, refuse, reorder, replace, restart, seeds, stall, swallow, wipe
+	// x.ini:3: drill.speed: is no name of this section; wants calls-take, desks, for, mean, memory-mb, processes, rate, relays, releases, seed, seed-processes, settle, start, stewards, stubs, zones
+	// x.ini:5: fault a.do: is "explode", wants one of agree, burst, delay, duplicate, fail-runs, flood, garble, half-close, keys, kill, late-runtime, leave, lose, lose-runs, narrow, pause, refuse, reorder, replace, restart, seeds, slow-runs, stall, swallow, wipe
 	// x.ini:5: fault a.do: wants what is done, as swallow or kill
 	// x.ini:6: fault a.at: is "3s..1s", wants a time, or two with .. between, from when all are up
 	// x.ini:7: fault b.at: wants a time, or two with .. between, from when all are up
 	// x.ini:7: fault b.from: wants both, from and to, as the fault is one of links
-	// x.ini:9: fault b.on: is "zone q", wants all, rest, relays, instances, desks, zone NAME, release NAME, process N, first N, draw N or draw N%
+	// x.ini:9: fault b.on: is "zone q", wants all, rest, relays, instances, desks, stewards, zone NAME, release NAME, process N, first N, draw N or draw N%
 }
 
 // A history that breaks each rule once is judged so, and one that does not is not.
--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -97,13 +97,16 @@
 }
 
 // Load is gossip.Process.
-func (d *Desk) Load(then func(float64)) {
+func (d *Desk) Load(then func(float64, gossip.Figures)) {
 	d.Hand(func() {
 		calls, _ := d.desk.Granted(d.Now())
-		then(float64(calls))
+		then(float64(calls), gossip.Figures{})
 	})
 }
 
+// Drain is gossip.Process: what was granted runs out, and the service is no member's any more.
+func (d *Desk) Drain(number uint64) { d.Hand(func() { d.Leave(time.Second) }) }
+
 // Fenced is gossip.Process.
 func (d *Desk) Fenced() { d.Hand(d.desk.Oust) }
 
--- a/internal/fleet/gossip/codec.go
+++ b/internal/fleet/gossip/codec.go
@@ -21,6 +21,8 @@
 	kindWord     byte = 'w'
 	kindAsk      byte = 'a'
 	kindGrant    byte = 'g'
+	kindPermit   byte = 'p'
+	kindBegin    byte = 'i'
 	headSize          = 5
 )
 
@@ -85,6 +87,26 @@
 type word struct {
 	Nonce uint64  `codec:"n"`
 	Load  float64 `codec:"l"`
+	Done  float64 `codec:"d,omitempty"` // ops that ended since its start, those in their target latency, and the s that all took
+	Well  float64 `codec:"w,omitempty"`
+	Took  float64 `codec:"t,omitempty"`
+}
+
+// permit tells a life of a permit that it has, or that it has begun; begin is its word that it would begin.
+type permit struct {
+	To     string `codec:"t"`
+	Who    string `codec:"w"` // the steward, and where it is reached
+	Addr   string `codec:"a"`
+	Number uint64 `codec:"n"`
+	Begun  bool   `codec:"b"`
+}
+
+type begin struct {
+	To          string `codec:"t"`
+	Who         string `codec:"w"` // the holder, and where it is reached
+	Addr        string `codec:"a"`
+	Incarnation uint64 `codec:"i"`
+	Number      uint64 `codec:"n"`
 }
 
 // ask is a grants.Ask, and grant its answer.
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -42,6 +42,7 @@
 	Rate      float64       // messages a second that are taken
 	Watch     string        // a local socket, empty for none
 	Leaves    bool          // a fenced one leaves
+	Permits   bool          // it leaves by permits of the stewards
 	Members   members.Told
 }
 
@@ -56,12 +57,21 @@
 type Process interface {
 	// Report has then called with how the process stands.
 	Report(then func(Report))
-	// Load has then called with what it has in hand, or under 0 for how long it has had nothing (spread.Idle).
-	Load(then func(float64))
+	// Load has then called with what it has in hand, or under 0 for how long it has had nothing (spread.Idle), and what it has done since its start.
+	Load(then func(load float64, done Figures))
+	// Drain has it leave, by a permit that the fleet has agreed on.
+	Drain(number uint64)
 	// Fenced tells that a later life has the name.
 	Fenced()
 }
 
+// Figures is what a process has done since its start.
+type Figures struct {
+	Done float64 // ops that ended
+	Well float64 // of them, in their target latency
+	Took float64 // s that all of them took, from reading to answer
+}
+
 // Part is one process's place in the fleet. All but what is atomic belongs to its loop.
 type Part struct {
 	*loop.Loop
@@ -105,6 +115,8 @@
 	// set before Start. answer may be called on any goroutine.
 	Desk   func(a grants.Ask, answer func(grants.Grant))
 	Grants func(g grants.Grant)
+	// Begins hears that a member would begin its permit, where we are a steward; done is called once it has. The same holds of it.
+	Begins func(name members.Name, of members.Incarnation, number uint64, done func())
 }
 
 // said is our last bulletin as it goes out, with when it was written.
@@ -152,7 +164,7 @@
 	c.ProbeInterval, c.ProbeTimeout = told.Probe, told.Probe/2
 	// Two others have to confirm before the shortest time holds; at 100 members that is 4 s with calls each 500 ms.
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 4, 3
-	c.GossipInterval, c.GossipNodes = 150*time.Millisecond, 3
+	c.GossipInterval, c.GossipNodes = 100*time.Millisecond, 3
 	c.RetransmitMult = 3
 	c.GossipToTheDeadTime = 30 * time.Second
 	c.EnableCompression = false           // its writer takes 100 KB a message: half of a process's time at rest went to clearing up behind it
@@ -375,12 +387,31 @@
 // asking is a query under way.
 type asking struct {
 	at   time.Duration
-	then func(load float64, age time.Duration)
+	then func(w word, age time.Duration)
 }
 
 // Ask asks a member how it stands, by one datagram; then is called on the part's loop if a word comes. What does not come within a second
 // is not waited for.
 func (p *Part) Ask(name members.Name, then func(load float64, age time.Duration)) {
+	p.askFor(name, func(w word, age time.Duration) { then(w.Load, age) })
+}
+
+// AskFigures asks a member what it has done, the same way.
+func (p *Part) AskFigures(name members.Name, then func(Figures)) {
+	p.askFor(name, func(w word, _ time.Duration) { then(Figures{w.Done, w.Well, w.Took}) })
+}
+
+// Nudge tells one life of a member that it has a permit, or that it has begun it. Any goroutine may call it.
+func (p *Part) Nudge(name members.Name, of members.Incarnation, number uint64, begun bool) {
+	p.Hand(func() {
+		if m, known := p.table.View().Get(name); known && m.Incarnation == of {
+			self := p.table.Self()
+			_ = p.list.SendToAddress(memberlist.Address{Addr: m.Addr, Name: m.ID().String()}, pack(kindPermit, permit{m.ID().String(), self.ID().String(), self.Addr, number, begun}))
+		}
+	})
+}
+
+func (p *Part) askFor(name members.Name, then func(w word, age time.Duration)) {
 	const most = 1024 // Danger: a fleet that answers nobody; so many are more than a relay asks in a second
 	m, known := p.table.View().Get(name)
 	if !known || len(p.asked) >= most {
@@ -600,8 +631,8 @@
 		case kindQuery:
 			var q query
 			if err = unpack(body, &q); err == nil && q.To == p.table.Self().ID().String() {
-				p.process.Load(func(load float64) {
-					b := pack(kindWord, word{q.Nonce, load})
+				p.process.Load(func(load float64, f Figures) {
+					b := pack(kindWord, word{q.Nonce, load, f.Done, f.Well, f.Took})
 					p.Hand(func() { _ = p.list.SendToAddress(memberlist.Address{Addr: q.Addr, Name: q.Who}, b) })
 				})
 			}
@@ -610,7 +641,7 @@
 			if err = unpack(body, &w); err == nil {
 				if a := p.asked[w.Nonce]; a != nil { // any other is late, or nobody's
 					delete(p.asked, w.Nonce)
-					a.then(w.Load, (p.Now()-a.at)/2)
+					a.then(w, (p.Now()-a.at)/2)
 				}
 			}
 		case kindAsk:
@@ -622,6 +653,25 @@
 					p.Hand(func() { _ = p.list.SendToAddress(memberlist.Address{Addr: addr, Name: a.Who.String()}, b) })
 				})
 			}
+		case kindPermit:
+			var x permit
+			if err = unpack(body, &x); err == nil && x.To == p.table.Self().ID().String() && x.Number > 0 && p.told.Permits {
+				// Danger: a permit that was withdrawn while its word was on the way. It begins by a word of ours that the stewards agree on, and only what
+				// they say has begun is gone by.
+				if x.Begun {
+					p.process.Drain(x.Number)
+				} else {
+					self := p.table.Self()
+					_ = p.list.SendToAddress(memberlist.Address{Addr: x.Addr, Name: x.Who}, pack(kindBegin, begin{x.Who, self.ID().String(), self.Addr, uint64(self.Incarnation), x.Number}))
+				}
+			}
+		case kindBegin:
+			var x begin
+			if err = unpack(body, &x); err == nil && x.To == p.table.Self().ID().String() && p.Begins != nil {
+				if id, ok := members.ReadID(x.Who); ok {
+					p.Begins(id.Name, members.Incarnation(x.Incarnation), x.Number, func() { p.Nudge(id.Name, members.Incarnation(x.Incarnation), x.Number, true) })
+				}
+			}
 		case kindGrant:
 			var g grants.Grant
 			if g, err = readGrant(body); err == nil && p.Grants != nil {
--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -9,7 +9,7 @@
 
 // Holder is one process's side of a desk. It belongs to one goroutine.
 type Holder struct {
-	Who members.ID
+	Who     members.ID
 	Most    int           // calls at a time that may be made without a grant, as told here
 	Longest time.Duration // that one may last, as told here or by the desk, whichever is less
 	// Alone is how many may be made without a grant, once the desk has said so. Danger: who has not heard yet what is set aside makes none.
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -45,6 +45,7 @@
 
 	kinds   map[choice.OpType]time.Duration // the op timeouts of those that were told
 	repeats map[choice.OpType]bool          // those of them that may run twice
+	targets map[choice.OpType]time.Duration // their target latencies
 	tenants map[choice.TenantID]bool        // those that were told
 
 	ops   map[choice.OpID]*op
@@ -65,6 +66,7 @@
 	away      int       // ops in hand that are there
 
 	fronts  []front.Front
+	figures Figures
 	emptied time.Duration // when the last op in hand was over
 	early   time.Duration // see Now
 	leaving bool          // it was told to go
@@ -76,9 +78,11 @@
 	in := &Instance{Loop: loop.New(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{}}
 	in.health.good = true
 	in.kinds, in.tenants, in.repeats = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}, map[choice.OpType]bool{}
+	in.targets = map[choice.OpType]time.Duration{}
 	for _, kind := range list(told.Facts, "op types") {
 		name, _ := kind["name"].(string)
 		in.kinds[choice.OpType(name)] = max(span(kind, "op timeout"), span(kind, "target latency"))
+		in.targets[choice.OpType(name)] = span(kind, "target latency")
 		in.repeats[choice.OpType(name)] = kind["repeats"] == "retryable"
 	}
 	for _, tenant := range list(told.Facts, "tenants") {
@@ -154,11 +158,12 @@
 	run     *run
 	sharing func(choice.Ending, time.Duration) // waits for another's result
 	since   time.Duration                      // when it began to wait
-	outside bool                               // the module does not know of it: it waits at the door, or is elsewhere
-	asked   *front.Ask                         // as it came, less its body; nil where nothing is handed over
-	due     time.Duration                      // with it
-	handed  front.Op                           // it is elsewhere
-	pass    rights.Pass                        // given back when the op is over
+	came    time.Duration
+	outside bool          // the module does not know of it: it waits at the door, or is elsewhere
+	asked   *front.Ask    // as it came, less its body; nil where nothing is handed over
+	due     time.Duration // with it
+	handed  front.Op      // it is elsewhere
+	pass    rights.Pass   // given back when the op is over
 }
 
 // Elsewhere is where an op may go that the module has turned away here. It belongs to the owner loop.
@@ -229,6 +234,29 @@
 		Held: len(in.ops) - in.running - in.away, Running: in.running, Room: in.most - len(in.ops), Signal: in.say, Idle: in.idle()}
 }
 
+// Figures is what has become of ops since the start.
+type Figures struct {
+	Done uint64        // acked, nacked or failed
+	Well uint64        // acked in their target latency
+	Took time.Duration // that all of them took, from reading to answer
+}
+
+// Figures gives what has become of ops.
+func (in *Instance) Figures() Figures { return in.figures }
+
+// count notes that an op is answered, if it still is owed that.
+func (in *Instance) count(o *op, acked bool) {
+	if o.owed == nil || o.came == 0 { // nobody waits
+		return
+	}
+	took := in.Loop.Now() - o.came
+	in.figures.Done++
+	in.figures.Took += took
+	if target := in.targets[o.kind]; acked && (target == 0 || took <= target) {
+		in.figures.Well++
+	}
+}
+
 // idle is how long nothing has been in hand.
 func (in *Instance) idle() time.Duration {
 	if len(in.ops) > 0 {
@@ -339,7 +367,7 @@
 
 // take puts an op in the tables.
 func (in *Instance) take(ask front.Ask, owed front.Owed) *op {
-	o := &op{id: choice.OpID(ask.ID), kind: choice.OpType(ask.Type), subject: ask.Subject, owed: owed,
+	o := &op{id: choice.OpID(ask.ID), kind: choice.OpType(ask.Type), subject: ask.Subject, owed: owed, came: in.Loop.Now(),
 		body: append(in.pool.Take(), ask.Body...)}
 	in.ops[o.id] = o
 	return o
@@ -449,6 +477,7 @@
 		if in.elsewhere != nil && !nowhereElse && in.hand(o) {
 			return
 		}
+		in.count(o, false)
 		with := in.with()
 		with.After, with.Last = stayAway, nowhereElse
 		in.answer(o, func(w front.Owed) { w.Refuse(with) })
@@ -458,6 +487,7 @@
 
 func (in *Instance) Fail(id choice.OpID) {
 	if o := in.ops[id]; o != nil {
+		in.count(o, false)
 		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
 		in.release(o)
 	}
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -244,8 +244,10 @@
 	switch how {
 	case choice.Acked:
 		in.keys.over(in, o, n.Bytes)
+		in.count(o, true)
 		in.answer(o, func(w front.Owed) { w.Answer(n.Bytes, in.with()) })
 	case choice.Failed:
+		in.count(o, false)
 		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
 	}
 	in.touched = true
--- a/internal/life/fleet.go
+++ b/internal/life/fleet.go
@@ -30,5 +30,5 @@
 
 // fixedFleet is all of the section that holds from the start on, as text to compare.
 func fixedFleet(f *operator.Fleet) string {
-	return fmt.Sprint(f.On, f.Name, f.Cluster, f.Listen, f.Advertise, f.Serves, f.Roles, f.Zone, f.Release, f.Capacity, f.Warm, f.Probe, f.Watch, f.Leaves)
+	return fmt.Sprint(f.On, f.Name, f.Cluster, f.Listen, f.Advertise, f.Serves, f.Roles, f.Zone, f.Release, f.Capacity, f.Warm, f.Probe, f.Watch, f.Leaves, f.Permits)
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -31,6 +31,7 @@
 	Rate      float64
 	Watch     string
 	Leaves    bool
+	Permits   bool
 	Told      members.Told
 }
 
@@ -72,6 +73,7 @@
 	fenced := "serve"
 	s.word("fenced", &fenced, "serve", "leave")
 	f.Leaves = fenced == "leave"
+	s.flag("permits", &f.Permits)
 	f.Probe = 500 * time.Millisecond // two calls a second: at rest some 2 KB a second
 	s.span("call-every", &f.Probe, 50*time.Millisecond, time.Minute)
 	f.Rate = 2000 // a second: a tenth of a core; 1,000 members say some hundred
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,6 +27,7 @@
 	Below    Below
 	Grants   Grants
 	HandOver HandOver
+	Steward  Steward
 }
 
 // Callers is who may do what. It is on if the file has any section that speaks of callers.
@@ -94,6 +95,7 @@
 	f.Fleet = r.fleet()
 	f.Relay = r.relay(&f.Fleet)
 	f.Below, f.Grants, f.HandOver = r.below(&f.Fleet), r.grants(&f.Fleet), r.handover(&f.Fleet)
+	f.Steward = r.steward(&f.Fleet)
 	f.Callers.On = f.Callers.On || f.Tokens.On || f.TLS.On
 	r.close("caller", "queue", "role")
 	return f, r.faults.Err()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -69,7 +69,7 @@
 	// op.ini:19: tls.revoked: is "list.pem", wants authorities, which sign it
 	// op.ini:14: tokens.issuer: stands in line 13 already
 	// op.ini:1: stray: stands before the first section
-	// op.ini:3: role: is no section; wants amqp, below, caller NAME, callers, fleet, grants, handover, log, queue NAME, relay, role NAME, tls, tokens
+	// op.ini:3: role: is no section; wants amqp, below, caller NAME, callers, fleet, grants, handover, log, queue NAME, relay, role NAME, steward, tls, tokens
 }
 
 // The example that operators start from names every name there is.
