Stewards under lost disks: one lock a folder, a way on alone, tests of failover, torn logs and linearizability

Need: a steward's log library holds a lock without a limit, so a second process on one folder hung without a word; what to do when most stewards are lost with their disks was not defined.

--- a/internal/command/agree.go
+++ b/internal/command/agree.go
@@ -35,6 +35,7 @@
 type stewardCommand struct {
 	Operator string `help:"Operator's file (INI) with the sections [fleet] and [steward]." placeholder:"FILE" type:"path" required:""`
 	Begin    bool   `help:"Begin a new fleet: once, on one steward. Where there is a state already it changes nothing."`
+	Alone    bool   `help:"The other stewards are lost for good, with their disks: go on from this one's state, and take others in anew."`
 	Log      string `help:"Form of the log: text or json. Without it the operator's file says." enum:"text,json," default:""`
 }
 
@@ -42,7 +43,7 @@
 	if linked == nil || linked.Steward == nil {
 		return over(withStewards)
 	}
-	return started(linked.Steward(c.Operator, c.Log, c.Begin))
+	return started(linked.Steward(c.Operator, c.Log, c.Begin, c.Alone))
 }
 
 // drainCommand asks for leave to go out, and waits for it.
@@ -161,6 +162,6 @@
 // Agreeing is what a program brings that can ask the stewards, or be one.
 type Agreeing struct {
 	Agree   func(a Agree, out io.Writer) error
-	Steward func(operated, format string, begin bool) error
+	Steward func(operated, format string, begin, alone bool) error
 	Hook    func(socket, name, release string, out io.Writer) error
 }
--- a/internal/command/further/agreed/agreed.go
+++ b/internal/command/further/agreed/agreed.go
@@ -14,8 +14,8 @@
 
 // Parts adds to what lanewheel-fleet has.
 func Parts(p command.Parts) command.Parts {
-	p.Steward = func(operated, format string, begin bool) error {
-		return stewards.Live(operated, format, begin, func(process gossip.Process, o *life.Operated) (*gossip.Part, func(*life.Operated), error) {
+	p.Steward = func(operated, format string, begin, alone bool) error {
+		return stewards.Live(operated, format, begin, alone, func(process gossip.Process, o *life.Operated) (*gossip.Part, func(*life.Operated), error) {
 			as := func(o *life.Operated) gossip.Told {
 				f := o.File.Fleet
 				f.Roles = members.Steward
--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -5,8 +5,6 @@
 import (
 	"log/slog"
 	"net"
-	"os"
-	"syscall"
 	"time"
 
 	"lanewheel/internal/fleet/gossip"
@@ -128,31 +126,3 @@
 	}
 	d.At(d.Now()+10*time.Millisecond, func() { d.left(last) })
 }
-
-// Hold takes a lock that one process alone on this machine can have, and waits for it. Danger: a desk that stands still while another
-// is started in its place, and then goes on granting by what it remembers. The kernel gives the lock back when its holder ends, and not before.
-func Hold(path string, wait func() bool) error {
-	if path == "" {
-		return nil
-	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return err
-	}
-	for told := false; ; {
-		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-		if err == nil {
-			return nil // the file stays open, and so the lock held, until the process ends
-		}
-		if err != syscall.EWOULDBLOCK {
-			return err
-		}
-		if !told {
-			told = true
-			slog.Warn("waiting-for-lock", "file", path)
-		}
-		if !wait() {
-			return err
-		}
-	}
-}
--- a/internal/fleet/steward/node.go
+++ b/internal/fleet/steward/node.go
@@ -21,10 +21,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	wal "github.com/hashicorp/raft-wal"
+	"github.com/hashicorp/raft-wal/metadb"
 
 	"lanewheel/internal/accord"
 	"lanewheel/internal/fleet/steward/ask"
 	"lanewheel/internal/fleet/steward/told"
+	"lanewheel/internal/lock"
 )
 
 // Told is what a steward goes by.
@@ -36,6 +38,8 @@
 	id    raft.ServerID // of its folder: a folder that was lost is another's life
 	raft  *raft.Raft
 	log   *wal.WAL
+	meta  *metadb.BoltMetaDB
+	held  io.Closer // the folder's lock
 	trans *raft.NetworkTransport
 
 	mu    sync.Mutex // guards what follows
@@ -47,13 +51,21 @@
 	if err := os.MkdirAll(told.Folder, 0o700); err != nil {
 		return nil, err
 	}
-	n := &Node{told: told, state: accord.New(told.Accord)}
-	id, err := identity(told)
-	if err != nil {
+	n := &Node{told: told, state: accord.New(told.Accord), meta: &metadb.BoltMetaDB{}}
+	var err error
+	if n.held, err = lock.Hold(filepath.Join(told.Folder, "lock"), func() bool { return false }); err != nil {
+		return nil, fmt.Errorf("%s: %w", told.Folder, err)
+	}
+	whole := false
+	defer func() {
+		if !whole {
+			n.close()
+		}
+	}()
+	if n.id, err = identity(told); err != nil {
 		return nil, err
 	}
-	n.id = id
-	if n.log, err = wal.Open(told.Folder); err != nil {
+	if n.log, err = wal.Open(told.Folder, wal.WithMetaStore(n.meta)); err != nil {
 		return nil, fmt.Errorf("the log in %s: %w", told.Folder, err)
 	}
 	logger := hclog.New(&hclog.LoggerOptions{Output: &lines{}, Level: hclog.Warn, DisableTime: true})
@@ -79,9 +91,17 @@
 			return nil, err
 		}
 	}
+	if told.Alone {
+		slog.Warn("steward", "alone", string(n.id))
+		if err := raft.RecoverCluster(c, (*machine)(n), n.log, n.log, snaps, n.trans, raft.Configuration{Servers: []raft.Server{{ID: n.id, Address: raft.ServerAddress(told.At)}}}); err != nil {
+			return nil, fmt.Errorf("the state in %s: %w", told.Folder, err)
+		}
+		n.state = accord.New(told.Accord) // it is read again
+	}
 	if n.raft, err = raft.NewRaft(c, (*machine)(n), n.log, n.log, snaps, n.trans); err != nil {
-		return nil, fmt.Errorf("the state in %s: %w", told.Folder, err)
+		return nil, fmt.Errorf("the state in %s can't be read: move the folder away, and the steward is taken in anew by the others: %w", told.Folder, err)
 	}
+	whole = true
 	return n, nil
 }
 
@@ -203,9 +223,17 @@
 }
 
 func (n *Node) close() {
-	_ = n.raft.Shutdown().Error()
-	_ = n.trans.Close()
-	_ = n.log.Close()
+	if n.raft != nil {
+		_ = n.raft.Shutdown().Error()
+	}
+	if n.trans != nil {
+		_ = n.trans.Close()
+	}
+	if n.log != nil {
+		_ = n.log.Close()
+	}
+	_ = n.meta.Close() // the log leaves it open
+	_ = n.held.Close()
 }
 
 // machine is raft.FSM.
--- /dev/null
+++ b/internal/fleet/steward/steward_test.go
@@ -0,0 +1,376 @@
+package steward
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"lanewheel/internal/accord"
+	"lanewheel/internal/accord/judge"
+	"lanewheel/internal/fleet/gossip"
+	"lanewheel/internal/fleet/steward/ask"
+	"lanewheel/internal/members"
+	"lanewheel/internal/standin"
+)
+
+// town is so many stewards among a fleet that is as it is said to be.
+type town struct {
+	folder string
+	told   []Told
+	all    []*Steward
+	done   []chan struct{}
+	mu     sync.Mutex
+	table  *members.Table
+	now    time.Duration
+	nudges map[uint64]string
+}
+
+var key = members.Key("0123456789abcdef0123456789abcdef")
+
+var towns int
+
+func found(n int, instances int) *town {
+	towns++
+	t := &town{folder: standin.Must(os.MkdirTemp("", "stewards")), nudges: map[uint64]string{}}
+	t.table = members.New(members.Claim{Name: "s0", Incarnation: 1, Life: 1, Roles: members.Steward}, members.Usual(), 0)
+	for i := range instances {
+		t.up(i, 1, "1")
+	}
+	var all []string
+	for i := range n {
+		l := standin.Must(net.Listen("tcp", fmt.Sprintf("127.73.%d.%d:0", os.Getpid()%250, towns)))
+		all = append(all, l.Addr().String())
+		l.Close()
+		t.told = append(t.told, Told{Name: fmt.Sprint("s", i), Listen: all[i], Folder: filepath.Join(t.folder, fmt.Sprint(i)), Begin: i == 0, Beat: 300 * time.Millisecond,
+			Keys: []members.Key{key}, Accord: accord.Usual(), Judge: judge.Usual(), Window: time.Second, Asked: 8, Patience: time.Second, Output: 64, Snapshot: 64})
+	}
+	t.all, t.done = make([]*Steward, n), make([]chan struct{}, n)
+	for i := range n {
+		t.told[i].Others = all
+		t.start(i)
+	}
+	return t
+}
+
+// up has the fleet hold an instance to be up, by a life.
+func (t *town) up(i int, life members.Life, release string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.now += time.Second
+	name := members.Name(fmt.Sprint("n", i))
+	t.table.Claimed(members.Claim{Name: name, Life: life, Incarnation: members.Incarnation(life), Roles: members.Instance, Release: release, Capacity: 1}, t.now)
+	t.table.Told(members.Bulletin{ID: members.ID{Name: name, Life: life}, Seq: 1, Ready: true, ReadyFor: time.Hour}, 0, t.now)
+}
+
+func (t *town) View() *members.View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.View()
+}
+
+func (t *town) Nudge(name members.Name, of members.Incarnation, number uint64, begun bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nudges[number] = fmt.Sprint(name, " ", of, " ", begun)
+}
+
+func (t *town) Figures(members.Name, func(gossip.Figures)) {}
+
+func (t *town) start(i int) {
+	s, err := New(t.told[i])
+	if err != nil {
+		panic(err)
+	}
+	t.all[i], t.done[i] = s, make(chan struct{})
+	go func() {
+		s.Serve(t)
+		close(t.done[i])
+	}()
+}
+
+// kill ends a steward without a word.
+func (t *town) kill(i int) {
+	s := t.all[i]
+	s.stop.Do(func() { close(s.over) })
+	<-t.done[i]
+	t.all[i] = nil
+}
+
+func (t *town) close() {
+	for i, s := range t.all {
+		if s != nil {
+			t.kill(i)
+		}
+	}
+	os.RemoveAll(t.folder)
+}
+
+func (t *town) client() ask.Client {
+	k := ask.Client{Keys: []members.Key{key}, Limit: standin.Patience}
+	for _, told := range t.told {
+		k.Stewards = append(k.Stewards, told.Listen)
+	}
+	return k
+}
+
+func (t *town) do(c accord.Command) accord.Reply {
+	a := standin.Must(t.client().Ask(ask.Question{Command: &c}))
+	if a.Reply == nil {
+		panic(a.Error)
+	}
+	return *a.Reply
+}
+
+// leader waits for one that leads and knows so many to agree, and as many instances.
+func (t *town) leader(voters, instances int) (i int) {
+	standin.Until("a leader", func() bool {
+		for k, s := range t.all {
+			if s != nil && s.Leads() {
+				if st := s.status(); len(st.Others) == voters && st.Members >= instances {
+					i = k
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return i
+}
+
+var oneOut = accord.Command{Do: accord.DoBudgets, Budgets: []accord.Budget{{Name: "one", Most: 1, Of: accord.Match{Role: "instance"}}}}
+
+// The leading steward ends between agreeing and the answer, as far as the client can tell: it asks again with its key, and there is one permit. Whoever leads
+// next goes on with it. A stranger without the key is not even asked what it wants.
+func Example_failover() {
+	t := found(3, 3)
+	defer t.close()
+	first := t.leader(3, 3)
+	t.do(oneOut)
+	c := accord.Command{Do: accord.DoAsk, Member: "n0", Key: "k"}
+	fmt.Println(t.do(c))
+	t.kill(first)
+	fmt.Println(t.do(c), t.do(accord.Command{Do: accord.DoAsk, Member: "n1"}).Number)
+	next := t.leader(3, 3)
+	standin.Until("the holder to be nudged", func() bool { t.mu.Lock(); defer t.mu.Unlock(); return t.nudges[1] != "" })
+	fmt.Println(t.nudges[1])
+	begun := make(chan bool, 1)
+	t.all[next].Begins("n0", 1, 1, func() { begun <- true })
+	fmt.Println(<-begun)
+	t.all[next].Begins("n1", 1, 2, func() { panic("two out") })
+	c.Member, c.Key = "n2", ""
+	fmt.Println(t.do(accord.Command{Do: accord.DoBegin, Member: "n1", Of: 1, Number: 2}))
+	k := t.client()
+	k.Keys = []members.Key{members.Key("another key of as many bytes....")}
+	_, err := k.Ask(ask.Question{Status: true})
+	fmt.Println(strings.Contains(fmt.Sprint(err), ask.ErrProof.Error()))
+	t.start(first)
+	t.up(0, 2, "1")
+	standin.Until("n0's permit to be over, and n1's granted, at all three", func() bool {
+		for _, s := range t.all {
+			st := s.status()
+			if len(st.Permits) != 1 || st.Permits[0].Stage != accord.Granted {
+				return false
+			}
+		}
+		return true
+	})
+	// Output:
+	// {true  1 []}
+	// {true  1 []} 2
+	// n0 1 false
+	// true
+	// {false permit 2 is another's 0 []}
+	// true
+}
+
+// Without a majority nothing is agreed, and nothing that was is forgotten. All end at once and start again from disk: what was agreed holds, and one whose
+// folder was wiped is taken in as another. A snapshot cut short is said, and nothing is gone by; where that leaves no majority, the one that has the state
+// goes on alone when it is told to, and the others are taken in anew.
+func Example_disks() {
+	t := found(3, 3)
+	defer t.close()
+	t.leader(3, 3)
+	t.do(oneOut)
+	t.do(accord.Command{Do: accord.DoAsk, Member: "n0"})
+	for range 200 { // past two snapshots
+		t.do(accord.Command{Do: accord.DoDrop, Number: 99})
+	}
+	for _, s := range t.all {
+		_ = s.node.raft.Snapshot().Error()
+	}
+	t.do(accord.Command{Do: accord.DoHalt, Why: "for the night"})
+	t.kill(1)
+	t.kill(2)
+	k := t.client()
+	k.Limit = 2 * time.Second
+	_, err := k.Ask(ask.Question{Command: &accord.Command{Do: accord.DoAsk, Member: "n1"}})
+	fmt.Println("without a majority:", err != nil)
+	t.kill(0)
+	tear := func(pattern string, cut int64) {
+		all := standin.Must(filepath.Glob(pattern))
+		path := all[len(all)-1]
+		info := standin.Must(os.Stat(path))
+		if err := os.Truncate(path, max(0, info.Size()-cut)); err != nil {
+			panic(err)
+		}
+	}
+	tear(filepath.Join(t.told[2].Folder, "snapshots", "*", "state.bin"), 100)
+	if err := os.RemoveAll(t.told[1].Folder); err != nil {
+		panic(err)
+	}
+	_, err = New(t.told[2])
+	fmt.Println(strings.Contains(fmt.Sprint(err), "move the folder away"))
+	if err := os.RemoveAll(t.told[2].Folder); err != nil {
+		panic(err)
+	}
+	t.told[0].Alone = true
+	for i := range t.told { // the first by the same line as at its first start
+		t.start(i)
+	}
+	t.leader(3, 3)
+	_, err = New(t.told[0])
+	fmt.Println(err != nil) // two on one folder, or one address
+	st := standin.Must(t.client().Ask(ask.Question{Status: true})).Status
+	fmt.Println(st.Halted != nil && st.Halted.Why == "for the night", len(st.Others), st.Uses[0].Budget.Name)
+	h := standin.Must(t.client().Ask(ask.Question{History: true}))
+	fmt.Println(h.Over[0].Outcome, len(h.History) > 200)
+	// Output:
+	// without a majority: true
+	// true
+	// true
+	// true 3 one
+	// withdrawn: halted true
+}
+
+// A log whose last write was cut at any byte opens, with all that was whole; what is not ours is said, and nothing is overwritten.
+func TestTorn(t *testing.T) {
+	w := found(1, 1)
+	defer w.close()
+	w.leader(1, 1)
+	w.do(oneOut)
+	for n := range 5 {
+		w.do(accord.Command{Do: accord.DoDrop, Number: accord.Number(n)})
+	}
+	w.kill(0)
+	whole := w.told[0].Folder
+	log := standin.Must(filepath.Glob(filepath.Join(whole, "*.wal")))[0]
+	text := standin.Must(os.ReadFile(log))
+	end := len(text)
+	for end > 0 && text[end-1] == 0 { // the file is longer than what is written
+		end--
+	}
+	chance := rand.New(rand.NewPCG(1, 1))
+	for range 12 {
+		cut := end - chance.IntN(400)
+		torn := append(append([]byte{}, text[:cut]...), make([]byte, len(text)-cut)...)
+		if err := os.WriteFile(log, torn, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.start(0)
+		w.leader(1, 1)
+		st := w.all[0].status()
+		if len(st.Uses) != 1 || st.Uses[0].Budget.Name != "one" {
+			t.Fatalf("cut at %d of %d: %v", cut, end, st.Uses)
+		}
+		w.kill(0)
+		if err := os.WriteFile(log, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(whole, "life"), []byte("?"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(w.told[0]); err == nil || !strings.Contains(err.Error(), "is damaged") {
+		t.Fatal(err)
+	}
+	if err := os.Remove(filepath.Join(whole, "life")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(w.told[0]); err == nil || !strings.Contains(err.Error(), "is missing beside a log") {
+		t.Fatal(err)
+	}
+	w.all[0] = nil
+}
+
+// What clients that ask at the same time are told, while leaders end, is what one state would have told them one after the other (porcupine).
+func TestLinearizable(t *testing.T) {
+	w := found(3, 3)
+	defer w.close()
+	w.leader(3, 3)
+	w.do(oneOut)
+	standin.Until("all to be known", func() bool { return w.all[w.leader(3, 3)].status().Members == 4 })
+	type input struct{ c accord.Command }
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	began := time.Now()
+	var all sync.WaitGroup
+	for client := range 4 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			chance := rand.New(rand.NewPCG(7, uint64(client)))
+			for n := range 12 {
+				c := accord.Command{Key: fmt.Sprint(client, "-", n), Span: time.Hour}
+				c.Number = accord.Number(1 + chance.IntN(8))
+				c.Member, c.Of = accord.Name(fmt.Sprint("n", chance.IntN(3))), 1
+				switch chance.IntN(4) {
+				case 0, 1:
+					c.Do = accord.DoAsk
+				case 2:
+					c.Do = accord.DoDrop
+				case 3:
+					c.Do, c.Member = accord.DoUndrain, ""
+				}
+				from := time.Since(began).Nanoseconds()
+				r := w.do(c)
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: client, Input: input{c}, Call: from, Output: r, Return: time.Since(began).Nanoseconds()})
+				mu.Unlock()
+			}
+		}()
+	}
+	for range 2 {
+		time.Sleep(300 * time.Millisecond)
+		i := w.leader(3, 3)
+		w.kill(i)
+		w.start(i)
+	}
+	all.Wait()
+	// The state that they begin with, as the stewards have it.
+	start := accord.New(accord.Usual())
+	for i := range 3 {
+		start.Apply(accord.Command{Do: accord.DoSee, Seen: []accord.Seen{{Name: accord.Name(fmt.Sprint("n", i)), Incarnation: 1, Release: "1", Roles: members.Instance, Capacity: 1}}})
+	}
+	start.Apply(oneOut)
+	first := string(standin.Must(json.Marshal(start)))
+	model := porcupine.Model{
+		Init: func() any { return first },
+		Step: func(state, in, out any) (bool, any) {
+			s := &accord.State{}
+			if err := json.Unmarshal([]byte(state.(string)), s); err != nil {
+				panic(err)
+			}
+			r := s.Apply(in.(input).c)
+			if fmt.Sprint(r) != fmt.Sprint(out) {
+				return false, state
+			}
+			s.History = nil
+			return true, string(standin.Must(json.Marshal(s)))
+		},
+	}
+	if !porcupine.CheckOperations(model, history) {
+		for _, o := range history {
+			t.Log(o.Call, o.Return, o.ClientId, o.Input, o.Output)
+		}
+		t.Fatal("not linearizable")
+	}
+}
--- a/internal/fleet/steward/told/told.go
+++ b/internal/fleet/steward/told/told.go
@@ -17,6 +17,7 @@
 	Others   []string // addresses of the stewards, its own may be among them
 	Folder   string   // of its log and snapshots
 	Begin    bool     // it is the first of a new fleet
+	Alone    bool     // the others are lost for good: it goes on from its own state
 	Beat     time.Duration
 	Keys     []members.Key
 	Accord   accord.Told
--- a/internal/life/desks/desks.go
+++ b/internal/life/desks/desks.go
@@ -11,6 +11,7 @@
 	"lanewheel/internal/fault"
 	"lanewheel/internal/fleet/desk"
 	"lanewheel/internal/life"
+	"lanewheel/internal/lock"
 	"lanewheel/internal/logline"
 )
 
@@ -35,16 +36,19 @@
 		logline.Start(os.Stderr, with.File.Log.Format)
 	}
 	runtime.GOMAXPROCS(2) // one for the gossip's sockets
-	err = desk.Hold(with.File.Grants.Lock, func() bool {
-		select {
-		case s := <-signals:
-			return s != syscall.SIGTERM
-		case <-time.After(200 * time.Millisecond):
-			return true
+	if path := with.File.Grants.Lock; path != "" {
+		held, err := lock.Hold(path, func() bool {
+			select {
+			case s := <-signals:
+				return s != syscall.SIGTERM
+			case <-time.After(200 * time.Millisecond):
+				return true
+			}
+		})
+		if err != nil {
+			return err
 		}
-	})
-	if err != nil {
-		return err
+		defer held.Close()
 	}
 	d := desk.New(with.File.Grants.Told, with.File.Fleet.Serves)
 	reload, err := join(d, &with)
--- a/internal/life/stewards/stewards.go
+++ b/internal/life/stewards/stewards.go
@@ -22,7 +22,7 @@
 const stop = 2 * time.Second
 
 // Live starts the steward that the operator's file tells of.
-func Live(operated, format string, begin bool, join Join) error {
+func Live(operated, format string, begin, alone bool, join Join) error {
 	signals := life.Signals()
 	logline.Start(os.Stderr, format)
 	with, err := life.Operate(operated)
@@ -37,7 +37,7 @@
 	}
 	runtime.GOMAXPROCS(2)
 	told := with.File.Steward.Told
-	told.Begin, told.Keys = begin, with.ClusterKeys
+	told.Begin, told.Alone, told.Keys = begin, alone, with.ClusterKeys
 	s, err := steward.New(told)
 	if err != nil {
 		return err
