--- a/internal/drill/even.go
+++ b/internal/drill/even.go
@@ -66,7 +66,7 @@
 	}
 	h.mu.Unlock()
 	slices.SortFunc(runs, func(a, b ran) int { return int(a.at - b.at) })
-	total := 0
+	total, waited := 0, ""
 	for _, r := range runs {
 		s := int(r.at / time.Second)
 		if r.proc >= d.Processes || s < 0 || s >= len(calm) || !calm[s] {
@@ -76,7 +76,11 @@
 		total++
 		// A gap counts where all of it is calm.
 		if from := int(last[r.proc] / time.Second); last[r.proc] > 0 && !ill[r.proc] && !slices.Contains(calm[from:s], false) {
-			gaps[r.proc] = max(gaps[r.proc], (r.at - last[r.proc]).Seconds())
+			if g := (r.at - last[r.proc]).Seconds(); g > gaps[r.proc] {
+				if gaps[r.proc] = g; g == slices.Max(gaps) {
+					waited = fmt.Sprintf("%s until %.1f s", w.procs[r.proc].name, r.at.Seconds())
+				}
+			}
 		}
 		last[r.proc] = r.at
 	}
@@ -109,6 +113,7 @@
 	ratio, idle := most/chance, slices.Max(gaps)/gap
 	figures = append(figures, []Figure{{"calm seconds", float64(seconds)}, {"ops a second of an instance, calm", float64(total) / float64(seconds) / float64(d.Processes)},
 		{"most loaded of a second, of what chance gives", ratio}, {"... in the worst second", ratios[len(ratios)-1]}, {"longest idle, expected gaps", idle}}...)
+	w.say("longest idle: " + waited)
 	if d.Even.On && ratio > d.Even.Most {
 		all = append(all, Violation{d.For, "load even", fmt.Sprintf("the most loaded of a second had %.2f of what chance gives, %.2f is told", ratio, d.Even.Most)})
 	}
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -205,7 +206,7 @@
 	if !s.see() {
 		return
 	}
-	busy := false
+	busy, halted := false, false
 	type nudge struct {
 		accord.Permit
 		here, gone bool
@@ -214,7 +215,7 @@
 	var nudges []nudge
 	var release *accord.Release
 	s.node.read(func(a *accord.State) {
-		busy = len(a.Permits) > 0 || a.Release.Running()
+		busy, halted = len(a.Permits) > 0 || a.Release.Running(), a.Halted != nil
 		for _, p := range a.Permits {
 			if m := a.Members[p.Member]; m != nil && p.Stage != accord.Queued {
 				nudges = append(nudges, nudge{*p, m.Why == accord.Up && m.Incarnation == p.Of, m.Why == accord.Gone, m.Before})
@@ -251,7 +252,10 @@
 			s.hook(h, n.Permit, to)
 		}
 	}
-	if release.Running() && release.Plan.Judged && release.Phase != accord.Backing {
+	switch {
+	case halted: // what is seen meanwhile is of a wave that is judged anew once that is over
+		l.judged = ""
+	case release.Running() && release.Plan.Judged && release.Phase != accord.Backing:
 		s.watch(release)
 	}
 }
@@ -380,7 +384,7 @@
 // watch gathers what the new release and the old one do at the same time, window by window, and gives the verdict once there is one.
 func (s *Steward) watch(r *accord.Release) {
 	l := s.lead
-	wave := r.Name + string(rune('0'+r.Wave))
+	wave := fmt.Sprint(r.Name, " ", r.Wave, " ", r.By)
 	if l.judged != wave {
 		l.judged, l.judge, l.window, l.last, l.now = wave, judge.New(s.told.Judge), time.Now(), nil, map[accord.Name]figures{}
 	}
--- a/internal/life/desks/desks.go
+++ b/internal/life/desks/desks.go
@@ -3,16 +3,14 @@
 
 import (
 	"log/slog"
-	"os"
 	"runtime"
 	"syscall"
 	"time"
 
-	"lanewheel/internal/fault"
 	"lanewheel/internal/fleet/desk"
 	"lanewheel/internal/life"
 	"lanewheel/internal/lock"
-	"lanewheel/internal/logline"
+	"lanewheel/internal/operator"
 )
 
 // Join brings a desk into its fleet and gives what takes an operator's file that was read anew.
@@ -23,18 +21,10 @@
 
 // Live starts the desk that the operator's file tells of, and grants until it is told to go.
 func Live(operated, format string, join Join) error {
-	signals := life.Signals()
-	logline.Start(os.Stderr, format)
-	with, err := life.Operate(operated)
+	signals, with, err := life.Beside(operated, format, "wants the sections [fleet] and [grants]", func(f *operator.File) bool { return f.Grants.On })
 	if err != nil {
 		return err
 	}
-	if !with.File.Grants.On {
-		return fault.List{{File: operated, Want: "wants the sections [fleet] and [grants]"}}
-	}
-	if format == "" {
-		logline.Start(os.Stderr, with.File.Log.Format)
-	}
 	runtime.GOMAXPROCS(2) // one for the gossip's sockets
 	if path := with.File.Grants.Lock; path != "" {
 		held, err := lock.Hold(path, func() bool {
--- a/internal/life/relays/relays.go
+++ b/internal/life/relays/relays.go
@@ -4,15 +4,13 @@
 import (
 	"log/slog"
 	"math"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"time"
 
-	"lanewheel/internal/fault"
 	"lanewheel/internal/keep"
 	"lanewheel/internal/life"
-	"lanewheel/internal/logline"
+	"lanewheel/internal/operator"
 	"lanewheel/internal/relay"
 )
 
@@ -21,22 +19,14 @@
 
 // Live starts the relay that the configuration at path and the operator's file tell of, and passes ops on until it is told to go.
 func Live(path, operated, format string, join Join) error {
-	signals := life.Signals()
-	logline.Start(os.Stderr, format)
-	config, err := life.Tell(path)
+	signals, with, err := life.Beside(operated, format, "wants the sections [fleet] and [relay]", func(f *operator.File) bool { return f.Fleet.On && f.Relay.On })
 	if err != nil {
 		return err
 	}
-	with, err := life.Operate(operated)
+	config, err := life.Tell(path)
 	if err != nil {
 		return err
 	}
-	if !with.File.Fleet.On || !with.File.Relay.On {
-		return fault.List{{File: operated, Want: "wants the sections [fleet] and [relay]"}}
-	}
-	if format == "" {
-		logline.Start(os.Stderr, with.File.Log.Format)
-	}
 	// One processor more than cores: the gossip's sockets wait elsewhere than in the poller, as a further front's of an instance.
 	runtime.GOMAXPROCS(int(math.Ceil(config.Cores)) + 1)
 	debug.SetMemoryLimit(int64(config.MemoryMB * (1 << 19)))
--- a/internal/life/stewards/stewards.go
+++ b/internal/life/stewards/stewards.go
@@ -3,16 +3,14 @@
 
 import (
 	"log/slog"
-	"os"
 	"runtime"
 	"time"
 
-	"lanewheel/internal/fault"
 	"lanewheel/internal/fleet/gossip"
 	"lanewheel/internal/fleet/steward"
 	"lanewheel/internal/life"
-	"lanewheel/internal/logline"
 	"lanewheel/internal/members"
+	"lanewheel/internal/operator"
 )
 
 // Join makes the part of a steward that speaks to the fleet, and gives what takes an operator's file that was read anew.
@@ -23,18 +21,10 @@
 
 // Live starts the steward that the operator's file tells of.
 func Live(operated, format string, begin, alone bool, join Join) error {
-	signals := life.Signals()
-	logline.Start(os.Stderr, format)
-	with, err := life.Operate(operated)
+	signals, with, err := life.Beside(operated, format, "wants the sections [fleet] and [steward]", func(f *operator.File) bool { return f.Steward.On })
 	if err != nil {
 		return err
 	}
-	if !with.File.Steward.On {
-		return fault.List{{File: operated, Want: "wants the sections [fleet] and [steward]"}}
-	}
-	if format == "" {
-		logline.Start(os.Stderr, with.File.Log.Format)
-	}
 	runtime.GOMAXPROCS(2)
 	told := with.File.Steward.Told
 	told.Begin, told.Alone, told.Keys = begin, alone, with.ClusterKeys
--- a/internal/operator/below.go
+++ b/internal/operator/below.go
@@ -31,11 +31,7 @@
 	}
 	s.count("calls", &b.Told.Calls, 0, 100_000)
 	s.span("longest", &b.Told.Longest, 10*time.Millisecond, time.Hour)
-	p := &b.Told.Spread
-	s.number("near", &p.Near, 0, 1.6)
-	s.number("trickle", &p.Trickle, 0.0001, 1)
-	s.number("bad-share", &p.Out, 0, 1)
-	s.span("memory", &p.Memory, 100*time.Millisecond, time.Hour)
+	s.chooser(&b.Told.Spread)
 	s.close()
 	return b
 }
--- a/internal/operator/relay.go
+++ b/internal/operator/relay.go
@@ -41,10 +41,7 @@
 	s.count("choices", &p.Choices, 1, 64)
 	s.span("fades", &p.Fades, 0, time.Minute)
 	s.span("believed", &p.Believed, 10*time.Millisecond, time.Hour)
-	s.number("near", &p.Near, 0, 1.6)
-	s.number("trickle", &p.Trickle, 0.0001, 1)
-	s.number("bad-share", &p.Out, 0, 1)
-	s.span("memory", &p.Memory, 100*time.Millisecond, time.Hour)
+	s.chooser(p)
 	s.number("retry-share", &p.Retry, 0, 1)
 	s.number("retry-saved", &p.Burst, 0, 1000)
 	s.number("asks", &t.Told.Asks, 0, 16)
@@ -57,3 +54,11 @@
 	s.close()
 	return t
 }
+
+// chooser reads what holds of whoever chooses among members or services.
+func (s *section) chooser(p *spread.Told) {
+	s.number("near", &p.Near, 0, 1.6)
+	s.number("trickle", &p.Trickle, 0.0001, 1)
+	s.number("bad-share", &p.Out, 0, 1)
+	s.span("memory", &p.Memory, 100*time.Millisecond, time.Hour)
+}
