--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -258,6 +258,10 @@
 		return err
 	}
 	ended := make(chan struct{})
+	crashes := w.d.Bad.Crashes > 0 && p.release == w.d.Bad.Release
+	if crashes {
+		time.AfterFunc(w.d.Bad.Crashes, func() { _ = cmd.Process.Kill() })
+	}
 	p.mu.Lock()
 	p.cmd, p.ended, p.meant, p.gone, p.paused, p.since, p.id = cmd, ended, false, false, false, time.Now(), members.ID{}
 	p.back()
@@ -271,8 +275,10 @@
 			p.out()
 			defer w.outs.left(w, p)
 		}
-		if unmeant && w.d.Bad.Crashes > 0 && p.release == w.d.Bad.Release {
+		if unmeant && crashes { // and whoever looks after processes starts it again
 			unmeant = false
+			p.out()
+			time.AfterFunc(time.Second, func() { _ = w.anew(p.name, "") })
 		}
 		if p.cmd == cmd {
 			p.gone = true
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -186,7 +186,7 @@
 			slog.Info("steward", "leads", true, "term", term)
 			s.lead = &leading{term: term, since: time.Now(), nudged: map[accord.Number]time.Time{}, hooks: map[accord.Number]*hooking{}, ended: map[accord.Name]members.Incarnation{}}
 		}
-		s.go_on()
+		s.round()
 	}
 }
 
@@ -200,8 +200,8 @@
 	return s.node.apply(c)
 }
 
-// go_on is one round of the leader's: what it sees, what time it is, whom it nudges, what is judged and started.
-func (s *Steward) go_on() {
+// round is one round of the leader's: what it sees, what time it is, whom it nudges, what is judged and started.
+func (s *Steward) round() {
 	l := s.lead
 	if !s.see() {
 		return
