--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -94,7 +94,9 @@
 
 	d := NewDesk(told, 1, 0)
 	now := time.Minute
-	ask := func(seq uint64, wants int) { d.Asked(now, Ask{Who: members.ID{Name: "a", Life: 1}, Seq: seq, Wants: wants}) }
+	ask := func(seq uint64, wants int) {
+		d.Asked(now, Ask{Who: members.ID{Name: "a", Life: 1}, Seq: seq, Wants: wants})
+	}
 	ask(1, 9)
 	for seq := uint64(2); seq < 30; seq++ {
 		ask(seq, 1)
