What a relay adds to an op, measured

Need: neither the time nor the CPU that a relay adds was known; the benchmark hung, as its database stand-in answered nothing and the stand-in's settings let eight calls through in five seconds. Change: the stand-in answers, the settings let calls through.

--- a/cmd/lanewheel-fleet/main_test.go
+++ b/cmd/lanewheel-fleet/main_test.go
@@ -52,6 +52,7 @@
 		panic(err)
 	}
 	rt, db, roster := standin.NewRuntime(), standin.NewDatabase(), standin.NewRoster()
+	db.Work()
 	go func() {
 		for {
 			link := &standin.Runtime{Listener: rt.Listener}
@@ -66,7 +67,7 @@
 	for _, s := range seeds {
 		list = append(list, at(s)+":7946")
 	}
-	settings := strings.NewReplacer("IDLE", "30", "FRESH", "0").Replace(standin.Settings)
+	settings := strings.NewReplacer("IDLE", "30", "FRESH", "0", `"dep-share":8,`, `"dep-share":8000,`).Replace(standin.Settings)
 	config := fmt.Sprintf(`{"name":%q,"listen":"%s:8443","runtime":%q,"roster":%q,"db":%q,"seed":"1","stop_ms":1500,"limits":{"cores":1,"memory_mb":64,"sockets":128},"settings":%s}`,
 		name, at(place), rt.Addr(), roster.Addr(), db.Addr(), settings)
 	n.ini = filepath.Join(dir, "fleet.ini")
