Only the poller closes descriptors; what was accepted ends by a half-close

Seen by reading, then forced on sockets. (1) The loop closed a descriptor (unused, given up, a failed write) while the poller held an event that it had fetched for it. The number went to the next connection that was accepted or dialled, and the event ended that one as peer-closed: a stub with an op on it, or a call. With one processor the poller waits for its turn between fetching and taking events, so the window is a turn of the loop, not some instructions. Example_descriptorGivenOutAgain has the poller stand there: before, two of twelve fresh connections were ended; now none. (2) Cut set SO_LINGER on a call's connection by its number, which could be a stub's by then: its end became a reset (Example_lingerOfAnother: lingers 1, now 0). It is set when the call is dialled. (3) A close over unread bytes resets and takes the last answer with it; accepted connections end their writing side, are read on and closed at the peer's end, after a second, or at once when the table is full (Example_closeOverUnread). (4) Four dials of two seconds to an address that swallows them held up all of their party: one that is given up ends at once (Example_swallowedDials: 20 s for forty, now under one). (5) Held back by a full table, connections stayed in the backlog that the end of listening resets; after Deafen the bound does not count, Backlog and Done tell when all are in.

Lines at fault: Link.Cut, Link.write, Net.dial, gate.Accept. The library's own lock is held over each use of a descriptor; init sees to its shape. Left: bytes that the kernel did not take go through the library's write, which closes by itself when the peer resets between our try and its own.

Each test was seen to fail with its defence taken out. TCP_NODELAY is checked on the socket for all that is accepted and dialled; it was on.

--- /dev/null
+++ b/internal/wire/crossings_test.go
@@ -0,0 +1,386 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// crossing is connections on real sockets whose poller and owner a test holds where it wants them.
+type crossing struct {
+	*Net
+	calls   chan func()
+	stubs   chan *Stub
+	holding chan chan struct{} // one for each reading that is to be held
+	held    chan struct{}      // the poller stands in such a reading
+	ended   chan string
+}
+
+func cross() *crossing {
+	x := &crossing{calls: make(chan func(), 1000), stubs: make(chan *Stub, 100), holding: make(chan chan struct{}, 9), held: make(chan struct{}),
+		ended: make(chan string, 100)}
+	x.Net = &Net{Buffers: plain{}, Most: 100, Unread: 1 << 20, Crowded: func() {},
+		Hand: func(calls ...func()) {
+			for _, call := range calls {
+				x.calls <- call
+			}
+		},
+		Read: func(calls ...func()) {
+			select {
+			case free := <-x.holding:
+				x.held <- struct{}{}
+				<-free
+			default:
+			}
+			for _, call := range calls {
+				x.calls <- call
+			}
+		},
+		Accept: func(l *Link) {
+			s := l.Stub()
+			s.OnOp, s.OnInterrupt, s.OnFault = func(uint32, Ask) {}, func(uint32) {}, func(string) {}
+			s.OnCheck = func(n uint32, _ bool) { s.Checked(n, true, With{Say: -1}) }
+			s.OnEnd = func(code string) { x.ended <- code }
+			x.stubs <- s
+		}}
+	if err := x.Start("127.0.0.1:0"); err != nil {
+		panic(err)
+	}
+	go func() {
+		for call := range x.calls {
+			call()
+			x.Flush()
+		}
+	}()
+	return x
+}
+
+// hold has the next reading stand until free is closed.
+func (x *crossing) hold() (free chan struct{}) {
+	free = make(chan struct{})
+	x.holding <- free
+	return free
+}
+
+// own runs on the owner.
+func (x *crossing) own(do func()) {
+	done := make(chan struct{})
+	x.calls <- func() { do(); close(done) }
+	<-done
+}
+
+// peer connects and gives both ends.
+func (x *crossing) peer() (net.Conn, *Stub) {
+	c, err := net.Dial("tcp", x.gates[0].Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	return c, <-x.stubs
+}
+
+// knocks gives calls that connect, with sockets that there are already, and give our end: no number goes to a peer meanwhile.
+func (x *crossing) knocks(n int) (all []func() *Stub) {
+	at := x.gates[0].Addr().(*net.TCPAddr)
+	for range n {
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, func() *Stub {
+			if err := unix.Connect(fd, &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())}); err != nil {
+				panic(err)
+			}
+			return <-x.stubs
+		})
+	}
+	return all
+}
+
+var checkCall = append([]byte{0x94, 0, 1}, "\xa5check\x91\x80"...)
+
+// hear gives what a peer reads to the end of its connection, or to the end of one answer to a check.
+func hear(c net.Conn) string {
+	b := make([]byte, 11)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	n, err := io.ReadFull(c, b)
+	switch {
+	case err == nil:
+		return fmt.Sprintf("%x", b)
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	}
+	return fmt.Sprintf("%d bytes, %v", n, err)
+}
+
+// comes waits until the kernel has something for a descriptor.
+func comes(fd int, what int16) {
+	p := []unix.PollFd{{Fd: int32(fd), Events: what}}
+	for {
+		if n, err := unix.Poll(p, 10000); n == 1 && p[0].Revents&what != 0 {
+			return
+		} else if err != syscall.EINTR {
+			panic(fmt.Sprint("nothing comes: ", n, err))
+		}
+	}
+}
+
+// The poller has fetched the ends of two connections when the owner ends them too, and a new one comes about before the poller goes on. The
+// new one lives.
+func Example_descriptorGivenOutAgain() {
+	x := cross()
+	_, first := x.peer()
+	second, s := x.peer()
+	third, s3 := x.peer()
+	other, _ := x.peer()
+	fourth, s4 := x.peer()
+	_ = first
+	knocks := x.knocks(12)
+	free := x.hold()
+	other.Write(checkCall)
+	<-x.held
+	// With the poller standing, in this order: something to read, and two ends.
+	then := x.hold()
+	second.Write(checkCall)
+	comes(s.nb.Hash(), unix.POLLIN)
+	third.Close()
+	comes(s3.nb.Hash(), unix.POLLRDHUP)
+	fourth.Close()
+	comes(s4.nb.Hash(), unix.POLLRDHUP)
+	close(free)
+	<-x.held // it has fetched all three, and stands in the first
+	x.own(func() { s3.Cut(); s4.Cut() })
+	var later []*Stub
+	for _, knock := range knocks {
+		later = append(later, knock())
+	}
+	close(then)
+	fmt.Println(<-x.ended, <-x.ended)
+	again, _ := x.peer() // the poller has taken all that it had fetched
+	again.Write(checkCall)
+	fmt.Println(hear(again))
+	for _, s := range later {
+		if fd, open := s.hold(); !open {
+			fmt.Println("a later one was ended:", fd)
+		} else {
+			s.free()
+		}
+	}
+	// Output:
+	// peer-closed peer-closed
+	// 9401ce00000001c092c380
+}
+
+// A call's connection that its peer has ended gets its order to end without a trace when its number is a stub's already.
+func Example_lingerOfAnother() {
+	x := cross()
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	var calls []*Database
+	var far []net.Conn
+	for range 2 {
+		stands := make(chan error, 1)
+		x.own(func() {
+			d := x.DialDatabase(l.Addr().String(), func(refused error) { stands <- refused })
+			d.OnEnd, d.OnReply = func(string) {}, func(Reply) {}
+			calls = append(calls, d)
+		})
+		c, _ := l.Accept()
+		far = append(far, c)
+		if err := <-stands; err != nil {
+			panic(err)
+		}
+	}
+	knocks := x.knocks(12)
+	x.own(func() {
+		for i, d := range calls {
+			far[i].Close()
+			for gone := false; !gone; time.Sleep(time.Millisecond) { // until the poller has closed it, which the owner has not heard yet
+				_, err := unix.FcntlInt(uintptr(d.nb.Hash()), unix.F_GETFD, 0)
+				gone = err == unix.EBADF
+			}
+		}
+		// What is accepted gets the lowest free number, and the poller's library a copy with the next one.
+		same, lingers := false, 0
+		for _, knock := range knocks {
+			s := knock()
+			if same {
+				continue
+			}
+			fd := s.nb.Hash()
+			same = fd == calls[0].nb.Hash() || fd == calls[1].nb.Hash()
+			if same {
+				for _, d := range calls {
+					d.Close("call-given-up")
+				}
+				lingers, _ = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_LINGER)
+			}
+		}
+		fmt.Println("same number:", same, "lingers:", lingers)
+	})
+	// Output:
+	// same number: true lingers: 0
+}
+
+// A connection is closed while more lies unread on it: the peer still gets its answer and an end in good order, not a reset. One who does not
+// end its side then is cut.
+func Example_closeOverUnread() {
+	x := cross()
+	c, s := x.peer()
+	other, _ := x.peer()
+	free := x.hold()
+	other.Write(checkCall)
+	<-x.held
+	c.Write(checkCall)
+	comes(s.nb.Hash(), unix.POLLIN)
+	x.own(func() {
+		s.Checked(1, true, With{Say: -1})
+		s.Close("unused")
+	})
+	close(free)
+	for range 2 { // what lies unread is read and thrown away, and so is what comes behind the close
+		for left := 1; left > 0; time.Sleep(time.Millisecond) {
+			left = 0
+			if fd, open := s.hold(); open {
+				left, _ = unix.IoctlGetInt(fd, unix.TIOCINQ)
+				s.free()
+			}
+		}
+		c.Write(checkCall)
+	}
+	raw, _ := c.(*net.TCPConn).SyscallConn()
+	_ = raw.Control(func(fd uintptr) {
+		wrong, _ := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		fmt.Println("wrong:", wrong)
+	})
+	fmt.Println(hear(c), hear(c))
+	x.own(s.Cut)
+	fmt.Println(<-x.ended)
+	// Output:
+	// wrong: 0
+	// 9401ce00000001c092c380 0 bytes, EOF
+	// unused
+}
+
+// A peer that reads nothing has its answers wait here, in order, up to the bound, and its connection ends then; one that reads in time gets them
+// all, and the close behind them, whoever comes last to the last byte.
+func Example_lastByte() {
+	x := cross()
+	for range 20 {
+		c, s := x.peer()
+		x.own(func() {
+			_ = unix.SetsockoptInt(s.nb.Hash(), unix.SOL_SOCKET, unix.SO_SNDBUF, 8<<10)
+			for i := range 30 {
+				s.Answer(uint32(i), make([]byte, 4096), With{Say: -1})
+			}
+			s.Close("unused")
+		})
+		all, err := io.ReadAll(c)
+		if err != nil || len(all) != 30*(4096+13) {
+			fmt.Println(len(all), err)
+		}
+		c.Close()
+		if code := <-x.ended; code != "unused" {
+			fmt.Println(code)
+		}
+	}
+	c, s := x.peer()
+	defer c.Close()
+	x.own(func() {
+		for i := range 4000 {
+			s.Answer(uint32(i), make([]byte, 4096), With{Say: -1})
+			s.flush()
+		}
+	})
+	fmt.Println(<-x.ended, x.unread.Load())
+	// Output:
+	// never-reads 0
+}
+
+// Small writes are never held back, on what is accepted and on what is dialled.
+func Example_noDelay() {
+	x := cross()
+	at := func(l *Link) int {
+		on, _ := unix.GetsockoptInt(l.nb.Hash(), unix.IPPROTO_TCP, unix.TCP_NODELAY)
+		return on
+	}
+	_, s := x.peer()
+	fmt.Println("accepted", at(s.Link))
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	addr := l.Addr().String()
+	var stands sync.WaitGroup
+	ready := func(error) { stands.Done() }
+	stands.Add(3)
+	var db *Database
+	var rt *Runtime
+	var cl *Client
+	x.own(func() {
+		db, rt, cl = x.DialDatabase(addr, ready), x.DialRuntime(addr, ready), x.Client(addr, ready)
+		db.OnEnd = func(string) {}
+		rt.OnEnd, cl.OnEnd = db.OnEnd, db.OnEnd
+	})
+	stands.Wait()
+	fmt.Println("dialled", at(db.Link), at(rt.Link), at(cl.Link))
+	// Output:
+	// accepted 1
+	// dialled 1 1 1
+}
+
+// A dial that an address swallows is given up at once, and holds up no other of its party.
+func Example_swallowedDials() {
+	x := cross()
+	hole := swallows()
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	refused := make(chan error, 99)
+	var calls []*Database
+	x.own(func() {
+		for range 40 {
+			d := x.DialDatabase(hole, func(err error) { refused <- err })
+			d.OnEnd = func(string) {}
+			calls = append(calls, d)
+		}
+	})
+	began := time.Now()
+	x.own(func() {
+		for _, d := range calls {
+			d.Close("call-given-up")
+		}
+	})
+	for range calls {
+		if err := <-refused; err == nil {
+			fmt.Println("stands")
+		}
+	}
+	x.own(func() {
+		x.DialDatabase(l.Addr().String(), func(err error) { refused <- err }).OnEnd = func(string) {}
+	})
+	fmt.Println(<-refused, time.Since(began) < time.Second)
+	l.Close()
+	// Output:
+	// <nil> true
+}
+
+// swallows gives an address whose queue is full: what knocks there hears nothing.
+func swallows() string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		panic(err)
+	}
+	if err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
+		err = unix.Listen(fd, 0)
+	}
+	if err != nil {
+		panic(err)
+	}
+	at, _ := unix.Getsockname(fd)
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	for {
+		if _, err := net.DialTimeout("tcp", addr, 100*time.Millisecond); err != nil {
+			return addr
+		}
+	}
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -8,12 +8,16 @@
 	"io"
 	"log/slog"
 	"net"
+	"reflect"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 
 	"lanewheel/internal/logline"
 )
@@ -53,6 +57,7 @@
 	ends   logline.Tally[end]     // connections that ended in this second
 	stubs  atomic.Int64           // connections that were accepted and are not closed
 	unread atomic.Int64           // bytes of all connections that their peers have not taken yet
+	deaf   atomic.Bool            // no further connection comes about
 }
 
 // mostUnwritten is what one peer may leave unread: the answers to 32 ops with the longest results.
@@ -94,15 +99,12 @@
 	})
 	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
 		if l, is := c.Session().(*Link); is {
-			n.unread.Add(-int64(size))
-			if l.unwritten.Add(-int64(size)) == 0 && l.closing.Load() {
-				n.Hand(l.Cut)
-			}
+			l.wrote(size)
 		}
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		if l, is := c.Session().(*Link); is {
-			if l.opened == nil || l.tls != nil {
+			if l.born.Load() && l.lingers { // it was accepted, and counted
 				n.stubs.Add(-1)
 			}
 			if l.tls != nil {
@@ -145,14 +147,18 @@
 	ended func(code string)
 	// opened hears of a connection that we dialled, before anything is read from it.
 	opened func(c *nbio.Conn)
-	// abrupt ends it without a trace. Danger: a connection for each call would leave all ports waiting for late bytes.
+	// abrupt has it end without a trace. Danger: a connection for each call would leave all ports waiting for late bytes.
 	abrupt bool
-
-	born      atomic.Bool  // what opened it has done so; orders that before the poller's reading
-	part      []byte       // an unfinished message; the poller's
-	parted    atomic.Int64 // when it began, in Unix nanoseconds; 0 while there is none
-	deaf      bool         // reads on, to hear of the close, but takes nothing in; the poller's
-	out       []byte       // what the next flush writes; the owner's
+	// lingers has it end by a half-close: the last answers reach a peer that is still sending. Set for what was accepted.
+	lingers bool
+	giveUp  context.CancelFunc // of the dial, while it lasts; the owner's
+
+	lost      atomic.Pointer[error] // why it has to be closed, where we know better than the poller
+	born      atomic.Bool           // what opened it has done so; orders that before the poller's reading
+	part      []byte                // an unfinished message; the poller's
+	parted    atomic.Int64          // when it began, in Unix nanoseconds; 0 while there is none
+	deaf      bool                  // reads on, to hear of the close, but takes nothing in; the poller's
+	out       []byte                // what the next flush writes; the owner's
 	dirty     bool
 	gone      bool
 	why       string
@@ -171,11 +177,80 @@
 }
 
 func (n *Net) link(c *nbio.Conn, party string) *Link {
-	l := &Link{net: n, nb: c, party: party, began: time.Now()}
+	l := &Link{net: n, nb: c, party: party, began: time.Now(), lingers: true}
 	c.SetSession(l)
 	return l
 }
 
+// The library holds a lock of its own while it marks a connection as closed, and closes the descriptor after that; it tells of it on another
+// goroutine, some time later, and can't be asked. Whoever uses the descriptor beside it has to hold that lock and to see the mark, or what he
+// does may be done to a later connection of the same number. The lock is the first thing in its struct; init sees to the shape.
+var closedAt = func() uintptr {
+	t := reflect.TypeFor[nbio.Conn]()
+	mark, has := t.FieldByName("closed")
+	if first := t.Field(0); !has || mark.Type.Kind() != reflect.Bool || first.Type != reflect.TypeFor[sync.Mutex]() {
+		panic("nbio.Conn has another shape than that of v1.6.8")
+	}
+	return mark.Offset
+}()
+
+// hold locks the descriptor of the link and tells whether it is open; free has to be called then.
+func (l *Link) hold() (fd int, open bool) {
+	if l.nb == nil {
+		return 0, false
+	}
+	l.lock().Lock()
+	if *(*bool)(unsafe.Add(unsafe.Pointer(l.nb), closedAt)) {
+		l.lock().Unlock()
+		return 0, false
+	}
+	return l.nb.Hash(), true // which is the descriptor
+}
+
+func (l *Link) lock() *sync.Mutex { return (*sync.Mutex)(unsafe.Pointer(l.nb)) }
+func (l *Link) free()             { l.lock().Unlock() }
+
+// shut ends one or both directions and leaves the closing to the poller, which hears of it. Danger: a descriptor that is closed beside
+// the poller is given out again at once, and an event that the poller has fetched for the old connection ends the new one.
+func (l *Link) shut(how int, why error) {
+	fd, open := l.hold()
+	if !open {
+		return
+	}
+	defer l.free()
+	if why != nil {
+		l.lost.CompareAndSwap(nil, &why)
+	}
+	_ = syscall.Shutdown(fd, how) // one that is not connected any more is ended by the poller all the same
+}
+
+// send gives the kernel what it takes now.
+func (l *Link) send(b []byte) (int, error) {
+	fd, open := l.hold()
+	if !open {
+		return 0, net.ErrClosed
+	}
+	defer l.free()
+	for {
+		n, err := syscall.Write(fd, b)
+		switch err {
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return 0, nil
+		default:
+			return max(0, n), err
+		}
+	}
+}
+
+// wrote hears that the kernel has taken so many bytes.
+func (l *Link) wrote(size int) {
+	l.net.unread.Add(-int64(size))
+	if l.unwritten.Add(-int64(size)) == 0 && l.closing.Load() {
+		l.net.Hand(l.finish)
+	}
+}
+
 // dial opens a connection; ready is called with nil once it stands. A refused one proves that nothing was sent.
 // Danger: the library's own DialAsync (v1.6.8) takes the first four bytes of an address that has sixteen, and
 // so connects to 0.0.0.0. Each party has a few goroutines that dial instead, so that one that hangs holds up no other.
@@ -196,19 +271,31 @@
 			}()
 		}
 	}
+	ctx, giveUp := context.WithCancel(context.Background())
+	l.giveUp = giveUp
+	over := func(refused error) {
+		giveUp()
+		l.giveUp = nil
+		ready(refused)
+	}
 	queue <- func() {
 		// No keepalive: four system calls, and nothing stays open and silent here.
 		d := net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}
 		if n.From != nil {
 			d.LocalAddr = &net.TCPAddr{IP: n.From}
 		}
-		conn, err := d.Dial("tcp", addr)
+		// Danger: dials to an address that swallows them hold up the others of their party. One that was given up ends at once, and
+		// those behind it that were are not begun.
+		conn, err := d.DialContext(ctx, "tcp", addr)
 		var c *nbio.Conn
 		if err == nil {
+			if l.abrupt {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
 			c, err = nbio.NBConn(conn)
 		}
 		if err != nil {
-			n.Hand(func() { ready(err) })
+			n.Hand(func() { over(err) })
 			return
 		}
 		c.SetSession(l)
@@ -218,7 +305,7 @@
 				if l.why != "" { // closed while it was being opened
 					l.Cut()
 				}
-				ready(nil)
+				over(nil)
 			})
 		}
 		_, _ = n.engine.AddConn(c) // a failure closes it, which is told
@@ -355,8 +442,33 @@
 		l.net.unread.Add(-int64(len(b)))
 		return
 	}
-	l.unwritten.Add(int64(len(b)))
-	_, _ = l.nb.Write(b) // a failure closes the connection, which is told by its callback
+	l.transmit(b)
+}
+
+var errNeverReads = errors.New("leaves too much unread")
+
+// transmit sends what it can and leaves the rest to the poller; the bytes are counted as unread before. A failure has the poller end the
+// connection, which is told by its callback.
+func (l *Link) transmit(b []byte) {
+	before := l.unwritten.Add(int64(len(b))) - int64(len(b))
+	var err error
+	if before+int64(len(b)) > mostUnwritten {
+		err = errNeverReads
+	} else if before == 0 { // else what comes first is not written yet
+		var n int
+		n, err = l.send(b)
+		if b = b[n:]; n > 0 {
+			l.wrote(n)
+		}
+	}
+	if err == nil && len(b) > 0 {
+		_, err = l.nb.Write(b)
+	}
+	if err != nil {
+		l.unwritten.Add(-int64(len(b)))
+		l.net.unread.Add(-int64(len(b)))
+		l.shut(syscall.SHUT_RDWR, err)
+	}
 }
 
 // Unfinished tells how long a message has been coming without an end.
@@ -367,6 +479,9 @@
 	return 0
 }
 
+// Partial tells whether a message has begun to come.
+func (l *Link) Partial() bool { return l.parted.Load() != 0 }
+
 // Blame notes why a connection is going to end, whoever ends it then.
 func (l *Link) Blame(code string) {
 	if l.why == "" {
@@ -374,9 +489,13 @@
 	}
 }
 
-// Close ends the connection once all that was gathered for it is written.
+// Close ends the connection once all that was gathered for it is written. One that was accepted is ended by a half-close: it is over when
+// the peer has ended its side too, or with Cut, which whoever closes has to see to.
 func (l *Link) Close(code string) {
 	l.Blame(code)
+	if l.nb == nil {
+		l.GiveUpDial()
+	}
 	if l.gone || l.nb == nil || l.closing.Load() {
 		return
 	}
@@ -386,17 +505,33 @@
 	}
 	l.closing.Store(true)
 	if l.unwritten.Load() <= 0 {
+		l.finish()
+	}
+}
+
+// finish ends what is closing and has nothing left to write; it may come twice. Danger: a close over bytes that nobody has read resets
+// the connection, and the peer loses the answers that it has not read yet. Our side ends first, what still comes is read and
+// thrown away, and the poller closes at the peer's end.
+func (l *Link) finish() {
+	if l.lingers {
+		l.shut(syscall.SHUT_WR, nil)
+	} else {
 		l.Cut()
 	}
 }
 
 // Cut ends the connection at once, whatever is not written yet.
 func (l *Link) Cut() {
-	if !l.gone && l.nb != nil {
-		if l.abrupt {
-			_ = l.nb.SetLinger(1, 0)
-		}
-		_ = l.nb.Close()
+	if !l.gone {
+		l.closing.Store(true) // nothing that still comes is taken in
+		l.shut(syscall.SHUT_RDWR, nil)
+	}
+}
+
+// GiveUpDial has a dial that goes on end as refused. One that stands already stays.
+func (l *Link) GiveUpDial() {
+	if l.giveUp != nil {
+		l.giveUp()
 	}
 }
 
@@ -407,6 +542,9 @@
 	}
 	l.gone = true
 	l.net.unread.Add(-l.unwritten.Load())
+	if why := l.lost.Load(); why != nil {
+		err = *why
+	}
 	code := l.why
 	var no syscall.Errno
 	switch {
@@ -439,17 +577,20 @@
 	net  *Net
 	full func() bool // holds back beside that, if not nil
 	shut atomic.Bool
+	done atomic.Bool // all that was accepted has been handed over, and nothing more will be
 	idle chan struct{}
 }
 
 func (g *gate) Accept() (net.Conn, error) {
 	for {
 		if g.shut.Load() {
+			g.done.Store(true)
 			<-g.idle // the poller would ask again at once, for ever
 		}
 		// Some round trips on one machine: short against an op, long against a core.
 		const again = 2 * time.Millisecond
-		if g.net.stubs.Load() >= g.net.Most || g.full != nil && g.full() {
+		// Danger: what waits in the backlog when it is closed is reset, with the ops written there. Before that all of it is let in.
+		if !g.net.deaf.Load() && (g.net.stubs.Load() >= g.net.Most || g.full != nil && g.full()) {
 			g.net.Hand(g.net.Crowded)
 			time.Sleep(again)
 			continue
@@ -466,6 +607,7 @@
 // not accepted yet, and the ops written there are lost. The kernel drops what asks for a connection from here
 // on; those that stand already are accepted until Shut.
 func (n *Net) Deafen() {
+	n.deaf.Store(true)
 	for _, g := range n.gates {
 		raw, err := g.SyscallConn()
 		if err != nil {
@@ -478,6 +620,33 @@
 	}
 }
 
+// Backlog tells whether connections stand that were not accepted yet. It is for the time after Deafen.
+func (n *Net) Backlog() bool {
+	waits := false
+	for _, g := range n.gates {
+		raw, err := g.SyscallConn()
+		if err != nil {
+			continue
+		}
+		_ = raw.Control(func(fd uintptr) {
+			// Of a listening socket Unacked is the length of its queue. Where the kernel does not tell, none waits as far as we know.
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			waits = waits || err == nil && info.Unacked > 0
+		})
+	}
+	return waits
+}
+
+// Done tells, after Shut, whether all connections that were accepted have been handed to the owner.
+func (n *Net) Done() bool {
+	for _, g := range n.gates {
+		if !g.done.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 // Shut closes the listening sockets.
 func (n *Net) Shut() {
 	for _, g := range n.gates {
--- a/internal/wire/secure.go
+++ b/internal/wire/secure.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -219,11 +220,11 @@
 // Write counts and writes what TLS has made of the answers.
 func (p *tlsPipe) Write(b []byte) (int, error) {
 	p.link.net.unread.Add(int64(len(b)))
-	p.link.unwritten.Add(int64(len(b)))
-	return p.nb.Write(b)
+	p.link.transmit(b)
+	return len(b), nil
 }
 
-func (p *tlsPipe) Close() error                     { p.cut(io.EOF); return p.nb.Close() }
+func (p *tlsPipe) Close() error                     { p.cut(io.EOF); p.link.shut(syscall.SHUT_RDWR, nil); return nil }
 func (p *tlsPipe) LocalAddr() net.Addr              { return p.nb.LocalAddr() }
 func (p *tlsPipe) RemoteAddr() net.Addr             { return p.nb.RemoteAddr() }
 func (p *tlsPipe) SetDeadline(time.Time) error      { return nil }
