A drain's spans follow the stop time, and its backlog is let in

(1) A runtime that came up behind SIGTERM had the module opened, which was not told of the notice: it let ops in that the end of the program cut off a moment later (runs.go, ready). It stays closed then, and ops are turned away (Example_readyBehindTheNotice). (2) Connections in the backlog of a full table were reset when listening ended: 8 of 8 ops lost, now 8 answered (Example_backlogAtTheEnd). (3) 300, 80, 60 and 10 ms were fixed; each is now that or a part of the stop time, in the same order (stubs.SpansOf), for an instance and a relay by one sequence (stubs.Front.Drain). Stop times of 1,500, 240, 60 and 0 ms answer all; they did before too, so this is no proven fault. (4) The end waits for the acceptor to stand still and for what it has handed in, and for peers to end their side. (5) SIGHUP gives up dials to the database's and the runtime's old addresses (Example_movedFromAHole: no call at the new one within its time, now at once). (6) A connection with half a message on it is not unused; lingering ones go first when the table is full.

Checked and ruled out as causes: the module's own margin (150 ms before the kill all is answered, whatever these spans are).

--- a/internal/keep/calls.go
+++ b/internal/keep/calls.go
@@ -154,6 +154,18 @@
 	return true
 }
 
+// moved hears that the database's address is another now. Danger: calls whose dials the old one swallows wait there for their whole time.
+func (d *database) moved(in *Instance) {
+	if d.below != nil {
+		return
+	}
+	for _, o := range in.ops {
+		if r := o.run; r != nil && r.call != nil && r.call.conn != nil && !r.call.sent {
+			r.call.conn.GiveUpDial() // it is refused so, and made again
+		}
+	}
+}
+
 // next gives waiting calls the room that there is.
 func (d *database) next(in *Instance) {
 	for len(d.wait) > 0 && d.open < d.most && d.settle(in, d.wait[0]) {
--- a/internal/keep/runs.go
+++ b/internal/keep/runs.go
@@ -29,6 +29,7 @@
 type link struct {
 	conn    *wire.Runtime // in use; nil while there is none
 	attempt uint64        // the last one to open a link
+	dialled *wire.Runtime // by that one
 	synced  bool          // all notices of the time without a link have been read
 	last    uint64        // the number of the last notice read
 	fence   string        // the mark behind the replayed notices
@@ -61,6 +62,9 @@
 			})
 		}
 	}
+	if l.dialled != nil { // the address that it goes to may swallow it
+		l.dialled.GiveUpDial()
+	}
 	var conn *wire.Runtime
 	conn = in.net.DialRuntime(in.told.Runtime, func(refused error) {
 		if refused != nil {
@@ -77,6 +81,7 @@
 		l.conn, l.synced = conn, false
 		conn.Sync(l.last)
 	})
+	l.dialled = conn
 	conn.OnNotice = func(n wire.Notice) {
 		if l.conn == conn { // what an old link still brings comes again on the new one
 			in.notice(n)
@@ -130,7 +135,8 @@
 // ready opens the module when the runtime comes up, and sets the fence on each link.
 func (in *Instance) ready(n wire.Notice) {
 	slog.Info("ready", "state", n.Status, "runtime_up_ms", n.Took.Milliseconds())
-	if in.desk == nil {
+	// Danger: a module that opens behind the notice to leave knows nothing of it, and lets in what is cut off a moment later.
+	if in.desk == nil && !in.leaving {
 		in.told.Facts["just started"] = n.Status == "booting"
 		in.early = n.Took // the age that a cold instance has counts from its runtime's start
 		in.desk = choice.Open(in.told.Seed, in.told.Facts, in)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,34 +227,26 @@
 	slog.Info("leaving", "kill_ms", r.config.Stop.Milliseconds(), "held", len(r.ops))
 	killAt := r.Now() + r.config.Stop
 	r.report()
+	spans := stubs.SpansOf(r.config.Stop)
 	for _, f := range r.fronts {
-		f.Leave(max(0, r.config.Stop-80*time.Millisecond))
+		f.Leave(max(0, r.config.Stop-spans.Fronts))
 	}
 	r.stubs.Part()
-	// What is still open then gets its answer a sixth of a second before the kill, as an instance's ops do.
-	r.At(max(r.Now(), killAt-150*time.Millisecond), func() {
+	// What is still open then gets its answer; nothing new is passed on from then on either.
+	r.until = min(r.until, killAt-spans.Answers)
+	r.At(max(r.Now(), killAt-spans.Answers), func() {
 		for _, o := range slices.Collect(maps.Values(r.ops)) { // answering takes them out
 			o.way.Late()
 		}
 	})
-	r.At(max(r.Now(), killAt-300*time.Millisecond), func() {
-		r.net.Deafen()
-		r.At(r.Now()+10*time.Millisecond, func() {
-			r.net.Shut()
-			r.leftWhenEmpty(killAt - 60*time.Millisecond)
+	r.At(max(r.Now(), killAt-spans.Part), func() {
+		r.stubs.Drain(spans, killAt, func() bool {
+			return len(r.ops) == 0 && !slices.ContainsFunc(r.fronts, func(f front.Front) bool { return !f.Closed() })
+		}, func(connections int) {
+			c := r.Counts
+			slog.Info("stopped", "connections", connections, "ops", len(r.ops), "asked", c.Asked, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
+				"lost", c.Lost, "again", r.passer.Again, "late", c.Late, "nobody", c.Nobody)
+			r.Over()
 		})
 	})
 }
-
-func (r *Relay) leftWhenEmpty(last time.Duration) {
-	closed := !slices.ContainsFunc(r.fronts, func(f front.Front) bool { return !f.Closed() })
-	if r.stubs.Len() == 0 && len(r.ops) == 0 && closed || r.Now() >= last {
-		r.stubs.Stop()
-		c := r.Counts
-		slog.Info("stopped", "connections", r.stubs.Len(), "ops", len(r.ops), "asked", c.Asked, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
-			"lost", c.Lost, "again", r.passer.Again, "late", c.Late, "nobody", c.Nobody)
-		r.Over()
-		return
-	}
-	r.At(r.Now()+5*time.Millisecond, func() { r.leftWhenEmpty(last) })
-}
--- a/internal/stubs/stubs.go
+++ b/internal/stubs/stubs.go
@@ -56,6 +56,71 @@
 // Len is how many connections there are.
 func (f *Front) Len() int { return len(f.all) }
 
+// Spans is how long before the kill the last steps of a drain come.
+type Spans struct {
+	Part    time.Duration // no connection comes in any more, and all stubs are asked to go
+	Answers time.Duration // what is still open is answered
+	Fronts  time.Duration // what else speaks to others has closed
+	End     time.Duration // what still stands is ended by us
+	Gone    time.Duration // the program ends
+}
+
+// SpansOf works them out from the time between notice and kill. They are the times that a machine takes, whoever's it is: an op that
+// crosses the asking to go comes within 50 ms, and a process may stand still for some hundredths of a second. Danger: a kill that comes
+// so soon that they are longer than the whole drain. Each is a part of it at the most, in the same order.
+func SpansOf(stop time.Duration) Spans {
+	const ms = time.Millisecond
+	return Spans{Part: min(300*ms, stop/4), Answers: min(150*ms, stop/8), Fronts: min(80*ms, stop/15), End: min(60*ms, stop/20), Gone: min(20*ms, stop/60)}
+}
+
+// Drain has no connection come in any more, asks all stubs to go, ends those that stay, and calls over when all is gone or the program has to
+// be, with how many had to be ended. It is called Part before killAt; others tells whether all else is done.
+func (f *Front) Drain(spans Spans, killAt time.Duration, others func() bool, over func(connections int)) {
+	f.net.Deafen()
+	f.Part()
+	// Danger: what had connected before and is not accepted yet is reset with the listening socket, and the ops written there are lost. A
+	// few turns of the acceptor do where it is idle; else until all are in.
+	at, latest := f.loop.Now()+min(10*time.Millisecond, spans.Part/4), killAt-(spans.Part+spans.End)/2
+	var shut, left func()
+	shut = func() {
+		if f.net.Backlog() && f.loop.Now() < latest {
+			f.loop.At(f.loop.Now()+time.Millisecond, shut)
+			return
+		}
+		f.net.Shut()
+		left()
+	}
+	ended, settled := 0, false
+	left = func() {
+		now := f.loop.Now()
+		if now >= killAt-spans.Gone || settled && f.Len() == 0 && others() {
+			over(ended)
+			return
+		}
+		// Danger: a connection that was accepted and has not come to the loop yet, with an op on it. It comes before what is handed in now.
+		if !settled && f.net.Done() {
+			settled = true
+			f.loop.Hand(left)
+			return
+		}
+		next := now + 5*time.Millisecond
+		if !settled {
+			next = now + time.Millisecond
+		}
+		if now < killAt-spans.End {
+			next = min(next, killAt-spans.End)
+		} else {
+			if ended == 0 {
+				ended = f.Len()
+				f.Stop()
+			}
+			next = min(next, killAt-spans.Gone)
+		}
+		f.loop.At(next, left)
+	}
+	f.loop.At(at, shut)
+}
+
 // Part asks all stubs to send nothing new here, also those that are accepted from now on.
 func (f *Front) Part() {
 	f.parting = true
@@ -67,7 +132,9 @@
 // Stop ends all connections.
 func (f *Front) Stop() {
 	for _, c := range f.all {
-		c.close("stopped")
+		if c.dying == "" {
+			c.close("stopped")
+		}
 	}
 }
 
@@ -261,7 +328,8 @@
 			if in.loop.Now()-c.used > handshakeFor && !stood {
 				c.close("handshake-slow")
 			}
-		case len(c.open) > 0 || c.checks > 0:
+		// Danger: a close in the middle of an op's message, whose sender has to begin again elsewhere.
+		case len(c.open) > 0 || c.checks > 0 || c.conn.Partial():
 		case !c.heard && in.loop.Now()-c.used > patience && !stood:
 			c.close("silent")
 		case c.parting > 0 && in.loop.Now()-max(c.parting, c.used) > partingFor:
@@ -278,11 +346,14 @@
 func (in *Front) MakeRoom() {
 	// Twice what an op may take to come that was sent before its stub saw the end; ten times that where ops have come.
 	const crossing, again = 100 * time.Millisecond, time.Second
-	var first *caller
+	var first, ending *caller
 	proving, most := in.net.Proving()
 	onlyProving := proving >= most // there is room for connections, but for no more handshakes
 	for _, c := range in.all {
 		unused := in.loop.Now() - c.used
+		if c.dying != "" && (ending == nil || c.used < ending.used) {
+			ending = c
+		}
 		if c.dying != "" || len(c.open) > 0 || c.checks > 0 || unused < crossing || c.heard && unused < again ||
 			onlyProving && !c.conn.Proves() {
 			continue
@@ -291,7 +362,10 @@
 			first = c
 		}
 	}
-	if first != nil {
+	switch {
+	case ending != nil && in.loop.Now()-ending.used > crossing: // has had time to read its last answers, and gives its room at once
+		ending.conn.Cut()
+	case first != nil:
 		first.close("crowded")
 	}
 }
