Settings left out, zero or huge have a meaning; reads are shared within a tenant

"classes": null passed the check and ended the first op in a panic (facts.Check asked only whether the name was there). A target latency of 0 had the module divide by it and give advice of minus 292 years; a negative longest stay away gave negative advice; a cold speed share of 1e300 overflowed. Times under zero count as zero, a target or timeout that is not told is the other one, or a second where neither is, a share is from 0 to 1. The module is unchanged. An op timeout that was not told, or over 29 years, had every op rejected as out of range: ten times it was 0 or overflowed (keep.unservable; Example_timeouts). A read's repeat from another tenant got the first one's result where callers are not proven (keys.like took the tenant of rights alone; Example_repeats: no run for the other tenant, now one).

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -129,8 +129,10 @@
 // Check translates the settings and tells all that is wrong with them.
 func Check(told *fastjson.Value) (choice.Facts, []Wrong) {
 	facts, wrong := translate(told, startNames)
+	complete(facts)
 	absent := func(ours, want string, path ...string) {
-		if _, there := facts[ours]; there || told.Get(path...) == nil { // else it has been told as wrong already
+		at := told.Get(path...)
+		if _, there := facts[ours]; there || at == nil || at.Type() == fastjson.TypeNull { // else it has been told as wrong already
 			wrong = append(wrong, Wrong{Path: path, Want: want})
 		}
 	}
@@ -143,6 +145,32 @@
 	return facts, wrong
 }
 
+// complete gives what was told of times and shares without a meaning the nearest that has one. Danger: the module divides by a target
+// latency, and works out spans from the others.
+func complete(facts choice.Facts) {
+	types, _ := facts["op types"].([]choice.Facts)
+	for _, t := range types {
+		target, _ := t["target latency"].(time.Duration)
+		timeout, _ := t["op timeout"].(time.Duration)
+		// An answer counts as long as it is owed where nothing else is told, and is owed as long as it counts. Where neither is
+		// told it is one second, the unit that both are told in.
+		const least = time.Millisecond // what a caller's clock can tell
+		if target < least && timeout < least {
+			target, timeout = time.Second, time.Second
+		}
+		if target < least {
+			target = timeout
+		}
+		if timeout < least {
+			timeout = target
+		}
+		t["target latency"], t["op timeout"] = target, timeout
+	}
+	if share, told := facts["cold speed share"].(float64); told {
+		facts["cold speed share"] = min(1, max(0, share))
+	}
+}
+
 // translate picks the named values out of an object. Absent and unknown ones are passed over.
 func translate(from *fastjson.Value, names []fact) (choice.Facts, []Wrong) {
 	facts := choice.Facts{}
@@ -203,7 +231,7 @@
 
 func span(v *fastjson.Value) any {
 	if x, isNumber := number(v).(float64); isNumber {
-		return Seconds(x)
+		return max(0, Seconds(x))
 	}
 	return nil
 }
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -152,7 +152,7 @@
 	id      choice.OpID
 	kind    choice.OpType
 	subject string
-	tenant  choice.TenantID // whose it is by its caller's rights; empty where there are none
+	tenant  choice.TenantID // whose it is, by its caller's rights where these are known; empty where there are no tenants
 	body    []byte
 	owed    front.Owed // its one answer; nil once it is given or the caller has left
 	run     *run
@@ -269,7 +269,7 @@
 func (in *Instance) admit(ask front.Ask, owed front.Owed, before *op) *op {
 	lay := max(0, in.Wall().Sub(time.UnixMilli(ask.At)))
 	code := in.unservable(ask)
-	if code != "" || lay > mostTimeouts*in.kinds[choice.OpType(ask.Type)] { // the second: long over, by a clock that is not ours
+	if code != "" || lay > longest(in.kinds[choice.OpType(ask.Type)]) { // the second: long over, by a clock that is not ours
 		if before == nil {
 			before = in.take(ask, owed)
 		}
@@ -287,6 +287,7 @@
 		o = in.take(ask, owed)
 	}
 	o.outside = false
+	o.tenant = choice.TenantID(ask.Tenant)
 	if in.elsewhere != nil {
 		in.remember(o, ask, lay)
 	}
@@ -376,6 +377,16 @@
 // mostTimeouts is how many op timeouts no stub would wait, nor any op lie or work: one is many times an op's work.
 const mostTimeouts = 10
 
+// longest is that time for one op timeout. Where none was told, or a huge one, it is a day: no caller waits so long, and a hundred
+// thousand of them still add up without overflow.
+func longest(timeout time.Duration) time.Duration {
+	const day = 24 * time.Hour
+	if timeout <= 0 || timeout > day/mostTimeouts {
+		return day
+	}
+	return mostTimeouts * timeout
+}
+
 // unservable tells what makes an ask one that could never be served, whatever else is here. Danger: the module would
 // learn from figures that nobody meant, or reckon with such as overflow.
 func (in *Instance) unservable(ask front.Ask) string {
@@ -387,7 +398,7 @@
 		return "unknown-tenant"
 	case ask.KB <= 0 || ask.KB >= 2000 || ask.Rank < 0 || ask.Rank >= 1 || ask.From < 0 || ask.From > math.MaxInt32:
 		return "out-of-range"
-	case ask.Wait > mostTimeouts*kind || ask.Cost > mostTimeouts*kind:
+	case ask.Wait > longest(kind) || ask.Cost > longest(kind):
 		return "out-of-range"
 	}
 	return ""
--- a/internal/keep/keys.go
+++ b/internal/keep/keys.go
@@ -17,7 +17,7 @@
 type like struct {
 	kind    choice.OpType
 	subject string
-	tenant  choice.TenantID // empty while all may do everything
+	tenant  choice.TenantID // empty where there are none
 }
 
 // kept is one key and, once its run has gone well, the result.
@@ -30,8 +30,7 @@
 	waiting []*op
 }
 
-// like is what repeats of an op have in common. Danger: where callers are known, one tenant's read must not be answered
-// with what another's came to.
+// like is what repeats of an op have in common. Danger: one tenant's read answered with what another's came to, of a key that both use.
 func (k *keys) like(o *op) like { return like{o.kind, o.subject, o.tenant} }
 
 // repeated is the kept op that this one repeats, or none.
