Nobody waits for the log's reader; notices of one kind leave room for the other's

(1) A log that nobody reads: the pipe is full and the next line stops the owner loop, and with it every answer; its reader gone, the next line ends the program (SIGPIPE on standard error). (2) SIGHUP and SIGTERM shared a room of eight until somebody took them: a hundred SIGHUPs while the configuration was being read lost the notice to leave (Example_noticesBeforeTheConfiguration: the program ran on). Each kind has room of its own.

--- /dev/null
+++ b/cmd/lanewheel/crossings_test.go
@@ -0,0 +1,369 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lanewheel/internal/standin"
+)
+
+// Notices of both kinds while the configuration is still being read: none ends the program, and the one to leave is not lost among the others.
+func Example_noticesBeforeTheConfiguration() {
+	t := &town{log: &lines{}, exit: make(chan struct{}), rt: standin.NewRuntime(), db: standin.NewDatabase(), roster: standin.NewRoster()}
+	defer t.close()
+	other := up()
+	text := other.text
+	other.close()
+	t.path = filepath.Join(folder, "held.json")
+	if err := unix.Mkfifo(t.path, 0o600); err != nil {
+		panic(err)
+	}
+	t.run()
+	// Opened once the program has opened it too, which then waits for what stands in it.
+	pipe := standin.Must(os.OpenFile(t.path, os.O_WRONLY, 0))
+	for range 100 {
+		t.hangUp()
+		standin.Until("the notice is taken", func() bool { return !pending(t.cmd.Process.Pid) })
+	}
+	t.terminate()
+	fmt.Fprint(pipe, text)
+	pipe.Close()
+	code, log := t.ended()
+	fmt.Println(code, strings.Contains(log, "msg=leaving"), strings.Contains(log, "msg=stopped"))
+	// Output:
+	// 0 true true
+}
+
+// pending tells whether a signal that was sent to the process has not been delivered.
+func pending(pid int) bool {
+	for _, line := range strings.Split(string(standin.Must(os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)))), "\n") {
+		if mask, is := strings.CutPrefix(line, "ShdPnd:"); is {
+			return strings.Trim(mask, "\t0") != ""
+		}
+	}
+	return false
+}
+
+// The runtime comes up behind the notice to leave: what is asked then is turned away, and never sent on.
+func Example_readyBehindTheNotice() {
+	t := open()
+	defer t.close()
+	t.rt.Take()
+	s := t.stub()
+	fmt.Println(s.Check())
+	t.terminate()
+	fmt.Println(s.Hear())
+	t.rt.Ready("steady")
+	standin.Until("the runtime is up", func() bool { return strings.Contains(t.log.text(), "msg=ready") })
+	s.Send(standin.Op(2, "view", standin.ID(2), nil))
+	fmt.Println(s.Hear())
+	s.Close()
+	code, _ := t.ended()
+	_, more := <-t.rt.Lines
+	fmt.Println(code, more)
+	// Output:
+	// false
+	// ['\x02' "goaway" []]
+	// ['\x01' '\x02' ["Busy" map[]] <nil>]
+	// 0 false
+}
+
+// Connections that stand in the backlog, with an op written on each, when listening ends while the table is full: each op has its answer.
+func Example_backlogAtTheEnd() {
+	t := up("\"sockets\":64", "\"sockets\":32")
+	defer t.close()
+	var busy, waiting []*standin.Stub
+	for i := range 20 { // as many as may be connected; none can be let go, as an op is open on each
+		s := t.stub()
+		s.Send(standin.Op(1, "pay", standin.ID(i), nil, "kb", "1"))
+		busy = append(busy, s)
+	}
+	standin.Until("all are in", func() bool { return t.rt.Hear() != "" && len(busy) == 20 })
+	for i := range 8 {
+		s := t.stub()
+		s.Send(standin.Op(1, "pay", standin.ID(100+i), nil, "kb", "1"))
+		waiting = append(waiting, s)
+	}
+	t.terminate()
+	answers := map[string]int{}
+	for _, s := range waiting {
+		for h := s.Hear(); ; h = s.Hear() {
+			if !strings.Contains(h, "goaway") {
+				answers[h]++
+				break
+			}
+		}
+	}
+	fmt.Println(answers)
+	for _, s := range append(busy, waiting...) {
+		s.Close()
+	}
+	code, _ := t.ended()
+	fmt.Println(code)
+	// Output:
+	// map[['\x01' '\x01' ["Busy" map[]] <nil>]:8]
+	// 0
+}
+
+// A stub that rests until the instance ends it, with half an op written when it is asked to go: its connection ends in good order before the
+// kill, however short the time to it is, and an op that was open has its answer.
+func Example_restsUntilTheEnd() {
+	for _, stop := range []string{"1500", "240", "60", "0"} {
+		t := up(`"stop_ms":1500`, `"stop_ms":`+stop)
+		s, rests := t.stub(), t.stub()
+		fmt.Print(stop, " ", rests.Check())
+		s.Send(standin.Op(1, "pay", standin.ID(1), nil))
+		t.rt.Hear()
+		began := time.Now()
+		t.terminate()
+		half := standin.Pack(nil, standin.Op(2, "view", standin.ID(2), nil))
+		rests.Conn.Write(half[:len(half)/2])
+		h := s.Hear()
+		for strings.Contains(h, "goaway") {
+			h = s.Hear()
+		}
+		fmt.Print(" ", h)
+		fmt.Print(" ", rests.Hear(), " ", rests.Hear())
+		code, log := t.ended()
+		fmt.Println("", code, time.Since(began) < 1500*time.Millisecond, strings.Contains(log, "msg=stopped"))
+		t.close()
+	}
+	// Output:
+	// 1500 true ['\x01' '\x01' ["Failed" map[]] <nil>] ['\x02' "goaway" []] closed 0 true true
+	// 240 true ['\x01' '\x01' ["Failed" map[]] <nil>] ['\x02' "goaway" []] closed 0 true true
+	// 60 true ['\x01' '\x01' ["Failed" map[]] <nil>] ['\x02' "goaway" []] closed 0 true true
+	// 0 true ['\x01' '\x01' ["Failed" map[]] <nil>] ['\x02' "goaway" []] closed 0 true true
+}
+
+// The database's address swallows what knocks; SIGHUP names another. Calls that wait at the old one go to the new one at once, and dials for
+// calls that were given up hold up nobody.
+func Example_movedFromAHole() {
+	hole, fd := swallows()
+	defer unix.Close(fd)
+	t := up()
+	defer t.close()
+	t.write(strings.Replace(t.text, t.db.Addr(), hole, 1))
+	t.hangUp()
+	standin.Until("the move", func() bool { return strings.Contains(t.log.text(), "db="+hole) })
+	s := t.stub()
+	for i := range 12 {
+		s.Send(standin.Op(i, "pay", standin.ID(i), nil, "kb", "1"))
+		t.rt.Hear()
+		t.rt.Notice("wants", standin.ID(i), "", "ask")
+	}
+	for i := range 11 { // all but the last are over
+		s.Send([]any{2, "interrupt", []any{i}})
+	}
+	fmt.Println(s.Check())
+	for i := range 11 {
+		t.rt.Notice("end", standin.ID(i), "interrupted", "")
+	}
+	s.Send(standin.Op(12, "view", standin.ID(12), nil, "kb", "1"))
+	for heard := ""; heard != `start c route view body ""`; {
+		heard = t.rt.Hear()
+	}
+	t.rt.Notice("end", standin.ID(12), "success", "all read")
+	fmt.Println(s.Hear())
+	t.write(strings.Replace(t.text, hole, t.db.Addr(), 1))
+	t.hangUp()
+	call := t.db.Next()
+	fmt.Println(call.Text)
+	call.Reply("200 OK", "", "rows")
+	for heard := ""; !strings.HasPrefix(heard, "give"); {
+		heard = t.rt.Hear()
+	}
+	t.rt.Notice("end", standin.ID(11), "success", "one")
+	fmt.Println(s.Hear())
+	// Output:
+	// true
+	// ['\x01' '\f' <nil> ["all read" map[]]]
+	// POST /v1/exec for b timed true body "ask"
+	// ['\x01' '\v' <nil> ["one" map[]]]
+}
+
+// swallows gives an address whose queue is full: what knocks there hears nothing.
+func swallows() (addr string, fd int) {
+	fd = standin.Must(unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0))
+	err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	if err == nil {
+		err = unix.Listen(fd, 0)
+	}
+	at := standin.Must(unix.Getsockname(fd))
+	if err != nil {
+		panic(err)
+	}
+	addr = fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	for {
+		if _, err := net.DialTimeout("tcp", addr, 100*time.Millisecond); err != nil {
+			return addr, fd
+		}
+	}
+}
+
+// The list's machine is down at the start, is back later, goes silent, and moves: reports go on all the while, each with the state of its moment.
+func Example_listThatIsDown() {
+	t := open()
+	defer t.close()
+	addr := t.roster.Addr()
+	t.roster.Close()
+	t.rt.Take()
+	t.rt.Ready("steady")
+	c := t.stub()
+	standin.Until("health", func() bool { return c.Check() })
+	conn := standin.Must(net.ListenPacket("udp", addr)) // back
+	b := make([]byte, 100)
+	hear := func() string {
+		_ = conn.SetReadDeadline(time.Now().Add(standin.Patience))
+		n, _, err := conn.ReadFrom(b)
+		return string(b[:standin.Must(n, err)])
+	}
+	fmt.Println(hear(), "|", hear())
+	t.roster = standin.NewRoster()
+	t.write(strings.Replace(t.text, addr, t.roster.Addr(), 1))
+	t.hangUp()
+	fmt.Println(t.roster.Reported())
+	conn.Close()
+	t.terminate()
+	off := 0
+	standin.Until("the list hears that it goes, more than once", func() bool {
+		if t.roster.Reported() == "HERE n1 off" {
+			off++
+		}
+		return off == 3
+	})
+	c.Close()
+	code, _ := t.ended()
+	fmt.Println(code)
+	// Output:
+	// HERE n1 on | HERE n1 on
+	// HERE n1 on
+	// 0
+}
+
+// Nobody reads the log, and its pipe is full; then its reader is gone. Ops are answered all the same, and the program leaves with 0.
+func Example_logThatNobodyReads() {
+	var ends [2]int
+	if err := unix.Pipe2(ends[:], unix.O_CLOEXEC|unix.O_NONBLOCK); err != nil {
+		panic(err)
+	}
+	for {
+		if _, err := unix.Write(ends[1], make([]byte, 1)); err != nil { // full to the last byte
+			break
+		}
+	}
+	if _, err := unix.FcntlInt(uintptr(ends[1]), unix.F_SETFL, 0); err != nil { // the program's writes wait
+		panic(err)
+	}
+	logs = os.NewFile(uintptr(ends[1]), "log")
+	t := up()
+	logs.Close()
+	logs = nil
+	defer t.close()
+	s := t.stub()
+	ask := func(n int) {
+		s.Send(standin.Op(n, "view", standin.ID(n), nil))
+		t.rt.Hear()
+		t.rt.Notice("end", standin.ID(n), "success", "one")
+		fmt.Println(s.Hear())
+	}
+	ask(1)
+	unix.Close(ends[0]) // what is being written is refused
+	t.stub().Close()    // and leaves a line
+	ask(2)
+	t.terminate()
+	s.Close()
+	code, _ := t.ended()
+	fmt.Println(code)
+	// Output:
+	// ['\x01' '\x01' <nil> ["one" map[]]]
+	// ['\x01' '\x02' <nil> ["one" map[]]]
+	// 0
+}
+
+// A read's repeat while the first runs, in the moment in which the first's answer leaves, when its run has failed, and from another tenant, in
+// another class, after the told time: the first's result, or a run of its own, and one answer each.
+func Example_repeats() {
+	t := up("FRESH", "0.2", `"tenants":[]`, `"tenants":[{"name":"water"},{"name":"roads"}]`)
+	defer t.close()
+	s := t.stub()
+	read := func(n int, kind, tenant string) []any {
+		return standin.Op(n, kind, standin.ID(n), nil, "key", "k", "tenant", tenant, "kb", "1")
+	}
+	s.Send(read(1, "view", "water"), read(2, "view", "water"))
+	fmt.Println(t.rt.Hear())
+	for n := 3; n < 30; n++ { // the end and repeats cross, in any order
+		s.Send(read(n, "view", "water"))
+		if n == 15 {
+			t.rt.Notice("end", standin.ID(1), "success", "one")
+		}
+	}
+	answers := map[string]int{}
+	for range 29 {
+		h := s.Hear()
+		answers[h[strings.Index(h, "<nil>"):]]++
+	}
+	fmt.Println(answers)
+	s.Send(read(60, "view", "roads"), read(61, "list", "water"))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(t.rt.Hear())
+	s.Send(read(62, "view", "roads"), read(63, "pay", "roads"))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(60), "failure", "")
+	fmt.Println(s.Hear(), s.Hear())
+	t.rt.Notice("end", standin.ID(61), "success", "three")
+	t.rt.Notice("end", standin.ID(63), "success", "four")
+	fmt.Println(s.Hear(), s.Hear())
+	s.Send(read(64, "view", "roads"))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(64), "success", "two")
+	fmt.Println(s.Hear())
+	// Past the told time the result is nobody's: some repeat runs.
+	n := 65
+	standin.Until("the end of its time", func() bool {
+		s.Send(read(n, "view", "roads"))
+		n++
+		select {
+		case line := <-t.rt.Lines:
+			t.rt.Notice("end", line["rid"].(string), "success", "five")
+			fmt.Println(line["t"], strings.Contains(s.Hear(), "five"))
+			return true
+		case <-time.After(20 * time.Millisecond):
+			return s.Hear() == ""
+		}
+	})
+	// Output:
+	// start 1 route view body ""
+	// map[<nil> ["one" map[]]]:29]
+	// start 3c route view body ""
+	// start 3d route list body ""
+	// start 3f route pay body ""
+	// ['\x01' '<' ["Failed" map[]] <nil>] ['\x01' '>' ["Failed" map[]] <nil>]
+	// ['\x01' '=' <nil> ["three" map[]]] ['\x01' '?' <nil> ["four" map[]]]
+	// start 40 route view body ""
+	// ['\x01' '@' <nil> ["two" map[]]]
+	// start true
+}
+
+// A class whose op timeout was not told, or is huge: what its callers say of their wait and its work still counts.
+func Example_timeouts() {
+	for _, told := range []string{``, `"give-up-s":0,`, `"give-up-s":3e9,`, `"give-up-s":1e300,`} {
+		t := up(`{"name":"view","credit":1,"promise-s":1,"give-up-s":3,`, `{"name":"view","credit":1,`+told)
+		s := t.stub()
+		s.Send(standin.Op(1, "view", standin.ID(1), nil))
+		fmt.Print(t.rt.Hear(), " ")
+		t.rt.Notice("end", standin.ID(1), "success", "one")
+		fmt.Println(s.Hear())
+		t.close()
+	}
+	// Output:
+	// start 1 route view body "" ['\x01' '\x01' <nil> ["one" map[]]]
+	// start 1 route view body "" ['\x01' '\x01' <nil> ["one" map[]]]
+	// start 1 route view body "" ['\x01' '\x01' <nil> ["one" map[]]]
+	// start 1 route view body "" ['\x01' '\x01' <nil> ["one" map[]]]
+}
--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -50,7 +50,8 @@
 var (
 	binary_, folder string
 	towns           int
-	operated        string // the operator's file of the next town
+	operated        string   // the operator's file of the next town
+	logs            *os.File // where the next town logs to, in place of its own log
 )
 
 // build makes the program once for all tests.
@@ -103,12 +104,20 @@
 func (t *town) start(text string) {
 	t.path = filepath.Join(folder, fmt.Sprintf("%d.json", time.Now().UnixNano()))
 	t.write(text)
+	t.run()
+}
+
+// run runs the program on the configuration at t.path.
+func (t *town) run() {
 	t.cmd = exec.Command(binary_)
 	if operated != "" {
 		t.cmd.Args = append(t.cmd.Args, "serve", "--operator", operated)
 	}
 	t.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+t.path)
 	t.cmd.Stdout, t.cmd.Stderr = t.log, t.log
+	if logs != nil {
+		t.cmd.Stdout, t.cmd.Stderr = logs, logs
+	}
 	if err := t.cmd.Start(); err != nil {
 		panic(err)
 	}
--- a/internal/fleet/steward/speak.go
+++ b/internal/fleet/steward/speak.go
@@ -19,13 +19,14 @@
 	l     net.Listener
 	came  chan net.Conn
 	over  chan struct{}
+	open  chan struct{} // closed once there is a state to answer from
 	close sync.Once
 	busy  chan struct{} // one for each connection that is being greeted or asked
 }
 
 func newStreams(s *Steward, l net.Listener) *streams {
 	const atOnce = 64 // operators, and strangers that say nothing
-	x := &streams{s: s, l: l, came: make(chan net.Conn), over: make(chan struct{}), busy: make(chan struct{}, atOnce)}
+	x := &streams{s: s, l: l, came: make(chan net.Conn), over: make(chan struct{}), open: make(chan struct{}), busy: make(chan struct{}, atOnce)}
 	go x.accept()
 	return x
 }
@@ -55,7 +56,12 @@
 				case <-x.over:
 				}
 			case kind == ask.AsOperator:
-				x.s.answer(c)
+				// Danger: who asks while the folder is still being read.
+				select {
+				case <-x.open:
+					x.s.answer(c)
+				case <-x.over:
+				}
 			}
 			c.Close()
 		}()
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -89,6 +89,7 @@
 		s.streams.Close()
 		return nil, err
 	}
+	close(s.streams.open)
 	return s, nil
 }
 
--- a/internal/life/beside.go
+++ b/internal/life/beside.go
@@ -11,18 +11,24 @@
 	"lanewheel/internal/operator"
 )
 
-// Signals has the notices to leave and to read anew come. It is called before all else: untold, either would end us.
-func Signals() <-chan os.Signal {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
-	return signals
+// Notices are what signals ask for. One of each that waits stands for all that come meanwhile.
+type Notices struct{ Leave, Reread <-chan os.Signal }
+
+// Signals has the notices to leave and to read anew come. It is called before all else: untold, either would end us. Danger: notices of
+// one kind that fill the room of the other before anybody takes them, at a slow start; each has its own.
+func Signals() Notices {
+	leave, reread := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGTERM)
+	signal.Notify(reread, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // Danger: whoever read our log is gone, and the next line ends us
+	return Notices{leave, reread}
 }
 
 // Beside begins the start of a process beside the instances: the log, the signals, and the operator's file, which has to have what on tells of. want names
 // that for whoever reads why it did not start.
-func Beside(operated, format, want string, on func(*operator.File) bool) (signals <-chan os.Signal, with Operated, err error) {
+func Beside(operated, format, want string, on func(*operator.File) bool) (signals Notices, with Operated, err error) {
 	signals = Signals()
-	logline.Start(os.Stderr, format)
+	logline.Serve(os.Stderr, format)
 	if with, err = Operate(operated); err != nil {
 		return signals, with, err
 	}
@@ -30,18 +36,20 @@
 		return signals, with, fault.List{{File: operated, Want: want}}
 	}
 	if format == "" {
-		logline.Start(os.Stderr, with.File.Log.Format)
+		logline.Serve(os.Stderr, with.File.Log.Format)
 	}
 	return signals, with, nil
 }
 
 // Heed carries out what signals ask of a process beside the instances: leave, or go by the operator's file as it is now. A file that is being
 // written may be wrong for a moment: the old one holds, and the next notice reads it again.
-func Heed(signals <-chan os.Signal, operated string, with Operated, leave func(), reload func(*Operated)) {
-	for s := range signals {
-		if s == syscall.SIGTERM {
+func Heed(signals Notices, operated string, with Operated, leave func(), reload func(*Operated)) {
+	for {
+		select {
+		case <-signals.Leave:
 			leave()
 			continue
+		case <-signals.Reread:
 		}
 		again, err := Operate(operated)
 		if err == nil {
--- a/internal/life/desks/desks.go
+++ b/internal/life/desks/desks.go
@@ -4,7 +4,6 @@
 import (
 	"log/slog"
 	"runtime"
-	"syscall"
 	"time"
 
 	"lanewheel/internal/fleet/desk"
@@ -29,8 +28,8 @@
 	if path := with.File.Grants.Lock; path != "" {
 		held, err := lock.Hold(path, func() bool {
 			select {
-			case s := <-signals:
-				return s != syscall.SIGTERM
+			case <-signals.Leave:
+				return false
 			case <-time.After(200 * time.Millisecond):
 				return true
 			}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -9,7 +9,6 @@
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"lanewheel/internal/fault"
@@ -21,7 +20,7 @@
 // until it is told to go. format is text or json; empty, the operator's file says.
 func Live(path, operated, format string) error {
 	signals := Signals()
-	logline.Start(os.Stderr, format)
+	logline.Serve(os.Stderr, format)
 	told, err := Tell(path)
 	if err != nil {
 		return err
@@ -35,7 +34,7 @@
 		return ErrFleet
 	}
 	if format == "" {
-		logline.Start(os.Stderr, with.File.Log.Format)
+		logline.Serve(os.Stderr, with.File.Log.Format)
 	}
 	// One processor for each core told, and no more: a second one on a part of a core wakes and sleeps for each message.
 	processors := int(math.Ceil(told.Cores))
@@ -81,7 +80,7 @@
 // heed carries out what signals ask for: SIGTERM to leave, SIGHUP to go by the files as they are now.
 // Danger: a file that can't be read, or is still being written, must not end or change a running instance. The old ones
 // stay in force and the files are read again, soon and then less and less often.
-func (k *keeper) heed(signals <-chan os.Signal) {
+func (k *keeper) heed(signals Notices) {
 	const soon, seldom = 50 * time.Millisecond, 5 * time.Second // a file takes far less to write; a person far more
 	var again <-chan time.Time
 	var wait time.Duration
@@ -89,11 +88,10 @@
 	came := make(chan reread, 1)
 	for {
 		select {
-		case s := <-signals:
-			if s == syscall.SIGTERM {
-				k.in.Hand(k.in.Leave)
-				continue
-			}
+		case <-signals.Leave:
+			k.in.Hand(k.in.Leave)
+			continue
+		case <-signals.Reread:
 			wanted, wait = true, 0
 		case <-again:
 			wanted = true
