Tries of a keyed op are known by what they say, and only one of them runs

No field names the op: keep.keys held keyed ops under no key at all (keys.keep returned where there was no subject), so the module never heard RepeatsOf.

In hand it does not age; over, it holds for the window from the op's arrival, and for tries that came within it and are read up to a second later; one that ran and failed has its repeats fail; one that never ran leaves none, and those that waited for it are nacked, not failed. Fronts whose ops keep their id over tries (queues) are left out by front.Ask.Anew.

Tests: Example_keyedTries, Example_keysAge; both fail where keyed ops have no key.

--- a/cmd/lanewheel/crossings_test.go
+++ b/cmd/lanewheel/crossings_test.go
@@ -367,3 +367,42 @@
 	// start 1 route view body "" ['\x01' '\x01' <nil> ["one" map[]]]
 	// start 1 route view body "" ['\x01' '\x01' <nil> ["one" map[]]]
 }
+
+// Tries of one keyed op, each under an id of its own and by whichever stub: one runs. The others get its result, while it runs and afterwards, or
+// its failure. What says something else, or is of another class, is another op.
+func Example_keyedTries() {
+	t := up(`"repeat":"at_most_once"}`, `"repeat":"deduplicated","dedup-window-s":60}`)
+	defer t.close()
+	s, other := t.stub(), t.stub()
+	try := func(n int, kind, body string) []any {
+		return standin.Op(n, kind, standin.ID(n), []byte(body), "kb", "1")
+	}
+	s.Send(try(1, "pay", "x"))
+	fmt.Println(t.rt.Hear())
+	other.Send(try(2, "pay", "x"))
+	s.Send(try(3, "pay", "y"))
+	fmt.Println(t.rt.Hear())
+	s.Send(try(4, "view", "x"))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(other.Check())
+	t.rt.Notice("end", standin.ID(1), "success", "one")
+	fmt.Println(s.Hear(), other.Hear())
+	other.Send(try(5, "pay", "x"))
+	fmt.Println(other.Hear())
+	t.rt.Notice("end", standin.ID(3), "failure", "")
+	fmt.Println(s.Hear())
+	other.Send(try(6, "pay", "y"))
+	fmt.Println(other.Hear())
+	s.Send([]any{2, "interrupt", []any{4}})
+	fmt.Println(t.rt.Hear(), len(t.rt.Lines))
+	// Output:
+	// start 1 route pay body "x"
+	// start 3 route pay body "y"
+	// start 4 route view body "x"
+	// true
+	// ['\x01' '\x01' <nil> ["one" map[]]] ['\x01' '\x02' <nil> ["one" map[]]]
+	// ['\x01' '\x05' <nil> ["one" map[]]]
+	// ['\x01' '\x03' ["Failed" map[]] <nil>]
+	// ['\x01' '\x06' ["Failed" map[]] <nil>]
+	// stop 4 0
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	KB, Rank                  float64
 	Token                     string // empty where none is brought
 	Passed                    int    // how many processes have passed it on
+	Anew                      bool   // each try comes under an id of its own: only what it says tells that two are of one op
 	Body                      []byte
 }
 
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -45,6 +45,7 @@
 
 	kinds   map[choice.OpType]time.Duration // the op timeouts of those that were told
 	repeats map[choice.OpType]bool          // those of them that may run twice
+	keyed   map[choice.OpType]bool          // those of whose tries only one may run
 	targets map[choice.OpType]time.Duration // their target latencies
 	tenants map[choice.TenantID]bool        // those that were told
 
@@ -78,12 +79,13 @@
 	in := &Instance{Loop: loop.New(buffers / 8), told: told, pool: &Pool{}, say: -1, ops: map[choice.OpID]*op{}}
 	in.health.good = true
 	in.kinds, in.tenants, in.repeats = map[choice.OpType]time.Duration{}, map[choice.TenantID]bool{}, map[choice.OpType]bool{}
-	in.targets = map[choice.OpType]time.Duration{}
+	in.targets, in.keyed = map[choice.OpType]time.Duration{}, map[choice.OpType]bool{}
 	for _, kind := range list(told.Facts, "op types") {
 		name, _ := kind["name"].(string)
 		in.kinds[choice.OpType(name)] = max(span(kind, "op timeout"), span(kind, "target latency"))
 		in.targets[choice.OpType(name)] = span(kind, "target latency")
 		in.repeats[choice.OpType(name)] = kind["repeats"] == "retryable"
+		in.keyed[choice.OpType(name)] = kind["repeats"] == "keyed"
 	}
 	for _, tenant := range list(told.Facts, "tenants") {
 		name, _ := tenant["name"].(string)
@@ -153,9 +155,11 @@
 	kind    choice.OpType
 	subject string
 	tenant  choice.TenantID // whose it is, by its caller's rights where these are known; empty where there are no tenants
+	like    like
 	body    []byte
 	owed    front.Owed // its one answer; nil once it is given or the caller has left
 	run     *run
+	ran     bool                               // it was started, whatever became of that
 	sharing func(choice.Ending, time.Duration) // waits for another's result
 	since   time.Duration                      // when it began to wait
 	came    time.Duration
@@ -291,11 +295,12 @@
 	if in.elsewhere != nil {
 		in.remember(o, ask, lay)
 	}
+	o.like = in.keys.like(o, ask, in.keyed[o.kind])
 	in.touched = true
 	in.desk.Read(choice.Arrival{ID: o.id, Type: o.kind, Rank: ask.Rank, Write: ask.Subject == "",
 		Subject: ask.Subject, Caller: choice.CallerID(ask.From), Waits: ask.Waits,
 		ToldWait: in.Now() - lay + ask.Wait, Hint: ask.Cost, KB: ask.KB, Lay: lay,
-		Tenant: choice.TenantID(ask.Tenant), RepeatsOf: in.keys.repeated(in, o)})
+		Tenant: choice.TenantID(ask.Tenant), RepeatsOf: in.keys.repeated(o, in.Now()-lay)})
 	return o
 }
 
@@ -466,7 +471,7 @@
 
 func (in *Instance) Run(id choice.OpID, atCall func(), ended func(choice.Ending, time.Duration)) {
 	if o := in.ops[id]; o != nil {
-		o.run = &run{atCall: atCall, ended: ended}
+		o.run, o.ran = &run{atCall: atCall, ended: ended}, true
 		in.running++
 		if in.runtime.synced {
 			in.runtime.conn.Start(id, o.kind, o.body)
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lanewheel/choice"
+	"lanewheel/internal/front"
 	"lanewheel/internal/loop"
 	"lanewheel/internal/wire"
 )
@@ -110,3 +111,50 @@
 	// 9401ce00000003c092c280 in time: true
 	// 9401ce00000004c092c280 in time: true
 }
+
+// A keyed op's key: in hand it does not age, however short the window; once over it holds for tries that came within it, however late they are
+// read. One that never ran leaves none. A read's key is over with its time.
+func Example_keysAge() {
+	in := &Instance{Loop: loop.New(9), told: Told{Facts: choice.Facts{"shared reads for": 100 * time.Millisecond}}}
+	k := &in.keys
+	n := 0
+	op := func(keyed bool) *op {
+		n++
+		o := &op{id: choice.OpID(fmt.Sprint(n)), kind: "pay", subject: "s", body: []byte("x")}
+		o.like = k.like(o, front.Ask{Anew: true}, keyed)
+		return o
+	}
+	say := func(what string, keyed bool, came time.Duration) {
+		fmt.Printf("%s, came %v: %q\n", what, came, k.repeated(op(keyed), came))
+	}
+	first := op(true)
+	k.keep(in, first, 200*time.Millisecond)
+	first.ran = true
+	say("keyed, in hand", true, 900*time.Millisecond)
+	k.over(in, first, []byte("one"))
+	say("keyed, over", true, 199*time.Millisecond)
+	say("keyed, over", true, 200*time.Millisecond)
+	k.drop(first.id)
+	second := op(true)
+	k.keep(in, second, time.Second)
+	k.over(in, second, nil)
+	say("keyed, never ran", true, 0)
+	third := op(true)
+	third.ran = true
+	k.keep(in, third, time.Second)
+	k.over(in, third, nil)
+	say("keyed, ran and failed", true, 0)
+	read := op(false)
+	k.keep(in, read, time.Second)
+	k.over(in, read, []byte("one"))
+	say("read", false, 99*time.Millisecond)
+	say("read", false, 100*time.Millisecond)
+	// Output:
+	// keyed, in hand, came 900ms: "1"
+	// keyed, over, came 199ms: "1"
+	// keyed, over, came 200ms: ""
+	// keyed, never ran, came 0s: ""
+	// keyed, ran and failed, came 0s: "7"
+	// read, came 99ms: "9"
+	// read, came 100ms: ""
+}
--- a/internal/keep/keys.go
+++ b/internal/keep/keys.go
@@ -1,14 +1,15 @@
 package keep
 
 import (
+	"crypto/sha256"
 	"time"
 
 	"lanewheel/choice"
 	"lanewheel/internal/front"
 )
 
-// keys are the ops that repeats are known by. Reads of like type and subject are repeats of each other. No
-// field tells of a keyed op that it repeats another; once one does, like is where it belongs.
+// keys are the ops that repeats are known by. Reads of like type and subject are repeats of each other; so are tries of a keyed op, which no
+// field tells of: what they say is the same, byte for byte.
 type keys struct {
 	of   map[like]*kept
 	held map[choice.OpID]*kept
@@ -17,7 +18,8 @@
 type like struct {
 	kind    choice.OpType
 	subject string
-	tenant  choice.TenantID // empty where there are none
+	tenant  choice.TenantID   // empty where there are none
+	content [sha256.Size]byte // of a keyed op; zero of a read
 }
 
 // kept is one key and, once its run has gone well, the result.
@@ -30,20 +32,45 @@
 	waiting []*op
 }
 
-// like is what repeats of an op have in common. Danger: one tenant's read answered with what another's came to, of a key that both use.
-func (k *keys) like(o *op) like { return like{o.kind, o.subject, o.tenant} }
+// like is what repeats of an op have in common, zero where it has none. Danger: one tenant's read answered with what another's came to, of a
+// key that both use.
+func (k *keys) like(o *op, ask front.Ask, keyed bool) (l like) {
+	switch {
+	case keyed && ask.Anew:
+		// Not who sends it: a further try may come by another stub.
+		l = like{kind: o.kind, tenant: o.tenant, content: sha256.Sum256(o.body)}
+	case !keyed && o.subject != "":
+		l = like{kind: o.kind, subject: o.subject, tenant: o.tenant}
+	}
+	return l
+}
 
-// repeated is the kept op that this one repeats, or none.
-func (k *keys) repeated(in *Instance, o *op) choice.OpID {
-	e := k.of[k.like(o)]
-	if o.subject == "" || e == nil || e.until <= in.Now() || e.over && e.result == nil {
+// keyed tells whether it is that of a keyed op.
+func (l like) keyed() bool { return l.content != [sha256.Size]byte{} }
+
+// repeated is the kept op that this one, which came at a time, repeats, or none.
+func (k *keys) repeated(o *op, came time.Duration) choice.OpID {
+	e := k.of[o.like]
+	if o.like == (like{}) || e == nil {
+		return ""
+	}
+	switch {
+	// Danger: an effect that happens twice. While a keyed op is in hand its key does not age, and one that ran and failed is not run again.
+	case e.like.keyed():
+		if e.over && e.until <= came {
+			return ""
+		}
+	case e.until <= came, e.over && e.result == nil:
 		return ""
 	}
 	return e.id
 }
 
+// lately is how long a key outlasts its time, for repeats that came in it and are read behind it.
+const lately = time.Second
+
 func (k *keys) keep(in *Instance, o *op, span time.Duration) {
-	if o.subject == "" {
+	if o.like == (like{}) {
 		return
 	}
 	if k.of == nil {
@@ -51,17 +78,27 @@
 	}
 	e := k.held[o.id]
 	if e == nil {
-		if before := k.of[k.like(o)]; before != nil {
+		if before := k.of[o.like]; before != nil {
 			k.drop(before.id)
 		}
-		e = &kept{id: o.id, like: k.like(o)}
+		e = &kept{id: o.id, like: o.like}
 		k.of[e.like], k.held[o.id] = e, e
 	}
 	e.until = in.Now() + span
-	in.At(e.until, func() {
-		if e.until <= in.Now() {
-			k.drop(e.id)
+	k.age(in, e)
+}
+
+// age forgets a key when its time is over.
+func (k *keys) age(in *Instance, e *kept) {
+	at := e.until
+	if e.like.keyed() {
+		at += lately
+	}
+	in.At(at, func() {
+		if k.held[e.id] != e || e.like.keyed() && (!e.over || e.until+lately > in.Now()) || e.until > in.Now() {
+			return // it is in hand still, which ages it when it is over; or it got more time
 		}
+		k.drop(e.id)
 	})
 }
 
@@ -79,13 +116,13 @@
 
 // share has an op wait for the result of the one it repeats, or gives it what is kept.
 func (k *keys) share(in *Instance, o *op) {
-	e := k.of[k.like(o)]
+	e := k.of[o.like]
 	if e == nil || e.over && e.result == nil {
-		in.Hand(func() { in.shared(o, nil) })
+		in.Hand(func() { in.shared(o, nil, true) })
 		return
 	}
 	if e.over {
-		in.Hand(func() { in.shared(o, e.result) })
+		in.Hand(func() { in.shared(o, e.result, true) })
 		return
 	}
 	e.waiting = append(e.waiting, o)
@@ -100,27 +137,37 @@
 	e.over = true
 	if result != nil {
 		e.result = append(make([]byte, 0, len(result)), result...)
-		e.until = min(e.until, in.Now()+span(in.told.Facts, "shared reads for"))
+		if !e.like.keyed() {
+			e.until = min(e.until, in.Now()+span(in.told.Facts, "shared reads for"))
+		}
 	}
 	waiting := e.waiting
 	e.waiting = nil
 	for _, w := range waiting {
-		in.Hand(func() { in.shared(w, e.result) })
+		in.Hand(func() { in.shared(w, e.result, o.ran) })
+	}
+	if e.like.keyed() && !o.ran { // a later try is free to
+		k.drop(e.id)
+		return
 	}
-	in.At(e.until, func() { k.drop(e.id) })
+	k.age(in, e)
 }
 
-// shared ends an op that waited for another's result.
-func (in *Instance) shared(o *op, result []byte) {
+// shared ends an op that waited for another's result. Where that never ran, neither did this one.
+func (in *Instance) shared(o *op, result []byte, ran bool) {
 	if o.owed == nil || in.ops[o.id] != o {
 		return
 	}
 	how := choice.Acked
-	if result == nil {
+	switch {
+	case result != nil:
+		in.answer(o, func(w front.Owed) { w.Answer(result, in.with()) })
+	case ran:
 		how = choice.Failed
 		in.answer(o, func(w front.Owed) { w.Fail(in.with()) })
-	} else {
-		in.answer(o, func(w front.Owed) { w.Answer(result, in.with()) })
+	default:
+		how = choice.Failed
+		in.answer(o, func(w front.Owed) { w.Refuse(in.with()) })
 	}
 	in.touched = true
 	o.sharing(how, in.Now()-o.since)
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -173,7 +173,7 @@
 
 func (s *Stub) op(r *unpack, n uint32, method string) func() {
 	ask, _ := s.fields(r)
-	ask.Type = method
+	ask.Type, ask.Anew = method, true
 	body := r.blob()
 	if len(body) > mostBody || !r.short && !r.bad && len(ask.ID) != 16 {
 		r.bad = true
