--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -158,3 +158,53 @@
 	// read, came 99ms: "9"
 	// read, came 100ms: ""
 }
+
+// asker is owed an answer and prints it.
+type asker struct{}
+
+func (asker) Answer([]byte, front.With) { fmt.Println("answered") }
+func (asker) Refuse(front.With)         { fmt.Println("turned away") }
+func (asker) Fail(front.With)           { fmt.Println("failed") }
+func (asker) Reject(string, front.With) { fmt.Println("rejected") }
+func (asker) Settled()                  {}
+
+// The runtime comes up behind the notice to leave, in the very batch: what is asked then is turned away, and never sent on.
+func Example_readyBehindTheNotice() {
+	runtime, _ := net.Listen("tcp", "127.0.0.1:0")
+	free, _ := net.Listen("tcp", "127.72.0.2:0") // where no connection of another test takes the port
+	free.Close()
+	in, err := Open(Told{Name: "n1", Listen: free.Addr().String(), Runtime: runtime.Addr().String(), Stop: time.Second,
+		Database: "127.0.0.1:9", Roster: "127.0.0.1:9", Sockets: 64, MemoryMB: 64, Cores: 1,
+		Facts: choice.Facts{"cores": 2.0, "op types": []choice.Facts{{"name": "view", "target latency": time.Second, "op timeout": time.Second}}}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	served := make(chan bool)
+	go func() {
+		in.Serve()
+		close(served)
+	}()
+	link, _ := runtime.Accept()
+	for stands := make(chan bool); ; {
+		in.Hand(func() { stands <- in.runtime.conn != nil })
+		if <-stands {
+			break
+		}
+	}
+	in.Hand(func() {
+		in.Leave()
+		in.notice(wire.Notice{Kind: "ready", Status: "steady"})
+		in.Enter(front.Ask{ID: "0123456789abcdef", Type: "view", At: time.Now().UnixMilli(), KB: 1}, nil, asker{})
+	})
+	<-served
+	_ = link.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // all that was sent lies there by now
+	lines := bufio.NewScanner(link)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), "start") {
+			fmt.Println("sent on")
+		}
+	}
+	// Output:
+	// turned away
+}
