--- a/cmd/lanewheel/deployed_test.go
+++ b/cmd/lanewheel/deployed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -74,3 +75,22 @@
 	// threads: true
 	// mapped: 2 true true
 }
+
+// The deploy file's list of what the instance is made of names all that it links, less the decisions, and nothing else.
+func Example_nodeList() {
+	var linked []string
+	for _, path := range strings.Fields(string(standin.Must(exec.Command("go", "list", "-deps", ".").Output()))) {
+		if folder, ours := strings.CutPrefix(path, "lanewheel/"); ours && folder != "choice" {
+			linked = append(linked, strconv.Quote(folder))
+		}
+	}
+	var named []string
+	for _, word := range deployed("node", "[", "]") {
+		named = append(named, strings.TrimSuffix(word, ","))
+	}
+	slices.Sort(linked)
+	slices.Sort(named)
+	fmt.Println(len(linked) > 20, slices.Equal(linked, named))
+	// Output:
+	// true true
+}
