An instance starts where nothing lies below and there is no list

At fault: parse in internal/life/told.go wanted text for db and roster from everybody. Change: both may be absent, and are then not spoken to; where the settings say that calls go somewhere a configuration without db is still refused in one line.

--- a/internal/keep/health.go
+++ b/internal/keep/health.go
@@ -49,6 +49,9 @@
 }
 
 func (in *Instance) report() {
+	if in.told.Roster == "" { // there is none
+		return
+	}
 	if in.health.roster == nil {
 		r, err := wire.NewRoster(in.told.Roster, in.told.Name)
 		if err != nil {
--- a/internal/life/told.go
+++ b/internal/life/told.go
@@ -1,6 +1,7 @@
 package life
 
 import (
+	"fmt"
 	"hash/fnv"
 	"os"
 	"strconv"
@@ -51,9 +52,12 @@
 	for _, text := range []struct {
 		name string
 		to   *string
-	}{{"name", &told.Name}, {"listen", &told.Listen}, {"runtime", &told.Runtime}, {"db", &told.Database},
-		{"roster", &told.Roster}} {
-		if *text.to = string(v.GetStringBytes(text.name)); *text.to == "" {
+		may  bool // be absent, null or empty: there is no such party
+	}{{"name", &told.Name, false}, {"listen", &told.Listen, false}, {"runtime", &told.Runtime, false}, {"db", &told.Database, true},
+		{"roster", &told.Roster, true}} {
+		at := v.Get(text.name)
+		*text.to = string(v.GetStringBytes(text.name))
+		if *text.to == "" && !(text.may && (at == nil || at.Type() == fastjson.TypeNull || at.Type() == fastjson.TypeString)) {
 			wrong(text.name, "wants text")
 		}
 	}
@@ -86,6 +90,11 @@
 			wrong("settings."+strings.Join(w.Path, "."), w.Want)
 		}
 	}
+	// Danger: customers whose ops call nothing, or whose calls end at this tier, have no database and are told of none: their instances have to start.
+	// Where calls go somewhere the address is needed, and a configuration without it is cut short.
+	if below, _ := told.Facts["below"].(string); told.Database == "" && below != "" && below != "none" && len(faults) == 0 {
+		wrong("db", fmt.Sprintf("wants text, as calls go to what settings.domain.below tells of (%s)", below))
+	}
 	told.Gauges = facts.Gauges(settings)
 	told.Readiness = settings.GetBool("domain", "readiness")
 	return told, faults
