The crossings' tests keep their peers, which the collector closed now and then

Seen: Example_closeOverUnread told peer-reset for unused in one run of all tests; with GOGC=1 3 of 60 runs of the package's examples failed. Cause: a peer that a test does not look at again is out of use, the collector's finalizer closes it, and the end of that connection is told in place of the one that is waited for. Change: the crossing holds its peers until it ends. After it 0 of 60, the same way.

--- a/internal/wire/crossings_test.go
+++ b/internal/wire/crossings_test.go
@@ -20,6 +20,7 @@
 	holding chan chan struct{} // one for each reading that is to be held
 	held    chan struct{}      // the poller stands in such a reading
 	ended   chan string
+	peers   []net.Conn // kept: one that a test does not look at again would be closed by the collector, and be told as an end
 }
 
 func cross() *crossing {
@@ -81,6 +82,7 @@
 	if err != nil {
 		panic(err)
 	}
+	x.peers = append(x.peers, c)
 	return c, <-x.stubs
 }
 
