A dialled connection is written to once the poller watches it; a dial without a place is told

Seen by reading the poller's library (nbio 1.6.8) beside internal/wire/link.go, dial; each forced by a test that fails on the lines as they were: - it opens a connection, which lets the owner write, before its poller watches it; what the kernel does not take in between is kept and nobody is woken for it (writtenBeforeWatched: the peer waits in vain for the rest and for the end). What is written before is now kept by the link until the poller watches it. - it takes no connection whose number is past its table and tells nobody: the call, or the runtime's link, waited for ever; and at the limit of descriptors the second one that it takes is refused and the first stayed open until a collection (dialWithoutPlace).

--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -97,7 +97,7 @@
 	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed. An eighth
 	// of the memory is for answers that nobody reads.
 	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: func(l *wire.Link) { in.stubs.Accept(l) }, Crowded: func() { in.stubs.MakeRoom() },
-		Most: int64(told.Sockets) * 5 / 8, Unread: int64(told.MemoryMB*(1<<20)) / 8}
+		Most: int64(told.Sockets) * 5 / 8, Limit: told.Sockets, Unread: int64(told.MemoryMB*(1<<20)) / 8}
 	if told.Callers != nil {
 		in.door = identity.New(*told.Callers, in.Hand, func() (time.Duration, time.Time) { return in.Now(), in.Wall() })
 		in.net.Tokens.Store(told.Callers.Keys != nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,7 +75,7 @@
 		r.kinds[name] = kind{t["repeats"] == "retryable", max(timeout, target)}
 	}
 	r.net = &wire.Net{Buffers: r.pool, Hand: r.Hand, Read: r.HandRead, Accept: func(l *wire.Link) { r.stubs.Accept(l) }, Crowded: func() { r.stubs.MakeRoom() },
-		Most: int64(config.Sockets) / 2, Unread: int64(config.MemoryMB*(1<<20)) / 8, From: told.Source()}
+		Most: int64(config.Sockets) / 2, Limit: config.Sockets, Unread: int64(config.MemoryMB*(1<<20)) / 8, From: told.Source()}
 	r.net.Tokens.Store(true) // who calls is the instance's to judge; a relay passes on what is brought
 	r.net.Passed.Store(true)
 	r.passer = pass.New(r.Loop, r.net, told.Told, config.Seed, ask)
--- a/internal/wire/crossings_test.go
+++ b/internal/wire/crossings_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
@@ -23,10 +25,13 @@
 	peers   []net.Conn // kept: one that a test does not look at again would be closed by the collector, and be told as an end
 }
 
-func cross() *crossing {
+func cross() *crossing { return crossAt(0) }
+
+// crossAt is told a limit of descriptors.
+func crossAt(limit int) *crossing {
 	x := &crossing{calls: make(chan func(), 1000), stubs: make(chan *Stub, 100), holding: make(chan chan struct{}, 9), held: make(chan struct{}),
 		ended: make(chan string, 100)}
-	x.Net = &Net{Buffers: plain{}, Most: 100, Unread: 1 << 20, Crowded: func() {},
+	x.Net = &Net{Buffers: plain{}, Most: 100, Limit: limit, Unread: 1 << 20, Crowded: func() {},
 		Hand: func(calls ...func()) {
 			for _, call := range calls {
 				x.calls <- call
@@ -390,3 +395,93 @@
 		}
 	}
 }
+
+// What is written to a connection that we dial before the poller watches it, more than the kernel takes at once, comes whole, and the close behind
+// it. The owner hears that the connection is open on the spot, while it is being handed to the poller, so it always writes before.
+func Example_writtenBeforeWatched() {
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
+	}}
+	far, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer far.Close()
+	x := cross()
+	l := &Link{net: x.Net, party: "far", began: time.Now(), ended: func(string) {}, parse: func([]byte) (int, func(), string) { return 0, nil, "" }}
+	const many = 150 << 10 // under the bound of what a peer may leave unread, over what the kernel takes
+	later := x.Hand
+	x.own(func() {
+		x.Hand = func(calls ...func()) { // the first is that of the open connection
+			x.Hand = later
+			for _, call := range calls {
+				call()
+			}
+		}
+		x.dial(l, far.Addr().String(), func(refused error) {
+			if refused != nil {
+				panic(refused)
+			}
+			if err := unix.SetsockoptInt(l.nb.Hash(), unix.SOL_SOCKET, unix.SO_SNDBUF, 4096); err != nil {
+				panic(err)
+			}
+			for range many >> 10 {
+				l.put(append(l.room(), make([]byte, 1024)...))
+				l.flush()
+			}
+			l.Close("done")
+		})
+	})
+	c, err := far.Accept()
+	if err != nil {
+		panic(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	got, err := io.Copy(io.Discard, c)
+	fmt.Println(got == many, err)
+	// Output:
+	// true <nil>
+}
+
+// A dial that the library has no place for, and one at the limit of descriptors, are refused and leave nothing open.
+func Example_dialWithoutPlace() {
+	before := nbio.MaxOpenFiles
+	x := crossAt(64)
+	defer func() { nbio.MaxOpenFiles = before }()
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer far.Close()
+	for { // numbers up to the table's end are taken
+		fd, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, 3)
+		if err != nil {
+			panic(err)
+		}
+		defer unix.Close(fd)
+		if fd >= nbio.MaxOpenFiles {
+			break
+		}
+	}
+	refused := make(chan error)
+	x.own(func() {
+		l := &Link{net: x.Net, party: "far", began: time.Now(), ended: func(string) {}}
+		x.dial(l, far.Addr().String(), func(err error) { go func() { refused <- err }() })
+	})
+	select {
+	case err := <-refused:
+		fmt.Println(err != nil, x.Net.calls.Load())
+	case <-time.After(10 * time.Second):
+		fmt.Println("no word")
+	}
+	c, err := far.Accept()
+	if err != nil {
+		panic(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = c.Read(make([]byte, 1))
+	fmt.Println(err)
+	// Output:
+	// true 0
+	// EOF
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -41,6 +41,7 @@
 	Accept  func(*Link)     // hears, beside the owner loop, of each connection that was accepted
 	Crowded func()          // the owner's: a connection waits for room under Most
 	Most    int64           // accepted connections at a time
+	Limit   int             // descriptors that the program may have; 0: not told
 	From    net.IP          // the address that we dial from; nil: any
 	Unread  int64           // past so many bytes, who leaves more than a few unread loses its connection
 
@@ -56,6 +57,7 @@
 	dials  map[string]chan func() // those that wait, by party; the owner's
 	ends   logline.Tally[end]     // connections that ended in this second
 	stubs  atomic.Int64           // connections that were accepted and are not closed
+	calls  atomic.Int64           // those that stand or are being opened by us
 	unread atomic.Int64           // bytes of all connections that their peers have not taken yet
 	deaf   atomic.Bool            // no further connection comes about
 }
@@ -67,6 +69,7 @@
 func (n *Net) Start(listen string) error {
 	logging.SetLevel(logging.LevelError)
 	n.dials = map[string]chan func(){}
+	n.sizeTable()
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{listen}, NPoller: 1,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), network, addr)
@@ -116,6 +119,19 @@
 	return n.engine.Start()
 }
 
+var tableSize sync.Mutex
+
+// sizeTable has the library's table of connections, which is one for each number that a descriptor may have, go by the limit that was told.
+// Danger: it goes by the machine's own limit else, which may be a million: 8 MB that the collector reads through, an eighth of what a small
+// instance is told. The kernel gives out the lowest number that is free, so twice the limit and what a parent may leave open is far above all.
+func (n *Net) sizeTable() {
+	tableSize.Lock()
+	defer tableSize.Unlock()
+	if most := 2*n.Limit + 1024; n.Limit > 0 && most < nbio.MaxOpenFiles {
+		nbio.MaxOpenFiles = most
+	}
+}
+
 // end is a kind of end that connections come to.
 type end struct{ party, code string }
 
@@ -162,6 +178,8 @@
 	dirty     bool
 	gone      bool
 	why       string
+	unwatched bool   // the poller does not watch it yet; the owner's
+	early     []byte // what is to be written once it does; counted as unread, not as unwritten
 	unwritten atomic.Int64
 	closing   atomic.Bool
 	tls       *tlsPipe // nil on a plain connection
@@ -273,9 +291,13 @@
 	}
 	ctx, giveUp := context.WithCancel(context.Background())
 	l.giveUp = giveUp
+	n.calls.Add(1)
 	over := func(refused error) {
 		giveUp()
 		l.giveUp = nil
+		if refused != nil {
+			n.calls.Add(-1)
+		}
 		ready(refused)
 	}
 	queue <- func() {
@@ -292,23 +314,44 @@
 			if l.abrupt {
 				_ = conn.(*net.TCPConn).SetLinger(0)
 			}
-			c, err = nbio.NBConn(conn)
+			if c, err = nbio.NBConn(conn); err != nil {
+				_ = conn.Close() // Danger: at the descriptor limit the second one that this takes is refused, and the first would stay
+			}
 		}
 		if err != nil {
 			n.Hand(func() { over(err) })
 			return
 		}
 		c.SetSession(l)
+		opened := false
 		l.opened = func(c *nbio.Conn) {
+			opened = true
 			n.Hand(func() {
-				l.nb = c
+				l.nb, l.unwatched = c, true
 				if l.why != "" { // closed while it was being opened
 					l.Cut()
 				}
 				over(nil)
 			})
 		}
-		_, _ = n.engine.AddConn(c) // a failure closes it, which is told
+		_, err = n.engine.AddConn(c)
+		switch {
+		case !opened: // the library had no place for it, and tells nobody
+			n.Hand(func() { over(err) })
+		default: // a failure closes it, which is told
+			n.Hand(l.watch)
+		}
+	}
+}
+
+// watch writes what had to wait until the poller watches the connection. Danger: the library opens a connection before that, and what the
+// kernel does not take in between is kept by it and never written, as nobody is woken for it.
+func (l *Link) watch() {
+	l.unwatched = false
+	out := l.early
+	l.early = nil
+	if len(out) > 0 && !l.gone {
+		l.transmit(out)
 	}
 }
 
@@ -442,6 +485,10 @@
 		l.net.unread.Add(-int64(len(b)))
 		return
 	}
+	if l.unwatched {
+		l.early = append(l.early, b...)
+		return
+	}
 	l.transmit(b)
 }
 
@@ -504,7 +551,7 @@
 		_ = l.tls.conn.CloseWrite() // so that the peer can tell our end from one that somebody else made
 	}
 	l.closing.Store(true)
-	if l.unwritten.Load() <= 0 {
+	if l.unwritten.Load() <= 0 && len(l.early) == 0 {
 		l.finish()
 	}
 }
@@ -541,7 +588,11 @@
 		return
 	}
 	l.gone = true
-	l.net.unread.Add(-l.unwritten.Load())
+	if !l.lingers { // we dialled it
+		l.net.calls.Add(-1)
+	}
+	l.net.unread.Add(-l.unwritten.Load() - int64(len(l.early)))
+	l.early = nil
 	if why := l.lost.Load(); why != nil {
 		err = *why
 	}
@@ -590,6 +641,7 @@
 		// Some round trips on one machine: short against an op, long against a core.
 		const again = 2 * time.Millisecond
 		// Danger: what waits in the backlog when it is closed is reset, with the ops written there. Before that all of it is let in.
+		// Danger: what waits in the backlog when it is closed is reset, with the ops written there. Before that all of it is let in.
 		if !g.net.deaf.Load() && (g.net.stubs.Load() >= g.net.Most || g.full != nil && g.full()) {
 			g.net.Hand(g.net.Crowded)
 			time.Sleep(again)
