Connections share what descriptors are left beside our own; the limit holds with few of them

Under the kernel's own limit of 40 with idle stubs a call could not be made (descriptorsUsedUp: no call at the database). At fault: internal/keep took 5/8 and 1/4 of the told limit as if nothing else was open, and let the whole backlog in when listening ended. A reporter that can't be opened is none (a relay crashed on it). Example_backlogAtTheEnd holds the same with 64 told and 32 busy: with 32 told there is no longer room for 20. What else it counts at instances that drain is not known; a guess, not measured, is what waits in the backlog.

--- a/cmd/lanewheel/crossings_test.go
+++ b/cmd/lanewheel/crossings_test.go
@@ -52,15 +52,15 @@
 
 // Connections that stand in the backlog, with an op written on each, when listening ends while the table is full: each op has its answer.
 func Example_backlogAtTheEnd() {
-	t := up("\"sockets\":64", "\"sockets\":32")
+	t := up()
 	defer t.close()
 	var busy, waiting []*standin.Stub
-	for i := range 20 { // as many as may be connected; none can be let go, as an op is open on each
+	for i := range 32 { // of 64 descriptors, as many as may be connected; none can be let go, as an op is open on each
 		s := t.stub()
 		s.Send(standin.Op(1, "pay", standin.ID(i), nil, "kb", "1"))
 		busy = append(busy, s)
 	}
-	standin.Until("all are in", func() bool { return t.rt.Hear() != "" && len(busy) == 20 })
+	standin.Until("all are in", func() bool { return t.rt.Hear() != "" && len(busy) == 32 })
 	for i := range 8 {
 		s := t.stub()
 		s.Send(standin.Op(1, "pay", standin.ID(100+i), nil, "kb", "1"))
--- a/cmd/lanewheel/starts_test.go
+++ b/cmd/lanewheel/starts_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 
+	"golang.org/x/sys/unix"
+
 	"lanewheel/internal/standin"
 )
 
@@ -49,3 +52,73 @@
 	// POST /v1/exec for 3 timed true body "ask"
 	// 1  db: wants text, as calls go to what settings.domain.below tells of (shared)"
 }
+
+// Idle clients fill the descriptors while nobody can learn of other instances, by the kernel's own limit: the instance links to its runtime after
+// that, serves, calls below, reports, takes its new addresses and leaves; it never holds more than was told, and who rests longest goes first.
+func Example_descriptorsUsedUp() {
+	const most = 40
+	t := open("\"sockets\":64", "\"sockets\":40")
+	defer t.close()
+	limit := unix.Rlimit{Cur: most, Max: most}
+	if err := unix.Prlimit(t.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		panic(err)
+	}
+	held := func() int {
+		return len(standin.Must(os.ReadDir(fmt.Sprintf("/proc/%d/fd", t.cmd.Process.Pid))))
+	}
+	var idle []*standin.Stub
+	peak := 0
+	for range 60 {
+		idle = append(idle, t.stub())
+		peak = max(peak, held())
+	}
+	t.rt.Take() // the link comes, or came before them
+	t.rt.Ready("steady")
+	s := t.stub()
+	standin.Until("health", func() bool { return s.Check() })
+	asked := map[string]int{}
+	for n := 1; n <= 6; n++ { // as many calls at a time as their share lets through, more than there is room for connections
+		s.Send(standin.Op(n, "pay", standin.ID(n), nil, "kb", "1"))
+		t.rt.Hear()
+		t.rt.Notice("wants", standin.ID(n), "", "ask")
+	}
+	for range 40 {
+		idle = append(idle, t.stub())
+		peak = max(peak, held())
+	}
+	for range 6 {
+		call := t.db.Next()
+		asked[call.Text[:14]]++
+		call.Reply("200 OK", "", "rows")
+		fmt.Print(t.rt.Hear()[:4], " ")
+	}
+	fmt.Println(asked)
+	for n := 1; n <= 6; n++ {
+		t.rt.Notice("end", standin.ID(n), "success", "done")
+		s.Hear()
+	}
+	fmt.Println(t.roster.Reported())
+	t.write(t.moved())
+	t.hangUp()
+	fmt.Println("sync", t.rt.Take())
+	t.rt.Ready("steady")
+	fmt.Println(t.roster.Reported())
+	s.Send(standin.Op(7, "pay", standin.ID(7), nil))
+	fmt.Println(t.rt.Hear())
+	t.rt.Notice("end", standin.ID(7), "success", "seven")
+	fmt.Println(s.Hear())
+	peak = max(peak, held())
+	fmt.Println("first to rest, first to go:", idle[0].Hear())
+	t.terminate()
+	code, _ := t.ended()
+	fmt.Println(code, "within the limit:", peak <= most)
+	// Output:
+	// give give give give give give map[POST /v1/exec :6]
+	// HERE n1 on
+	// sync 12
+	// HERE n1 on
+	// start 7 route pay body ""
+	// ['\x01' '\a' <nil> ["seven" map[]]]
+	// first to rest, first to go: closed
+	// 0 within the limit: true
+}
--- a/internal/keep/calls.go
+++ b/internal/keep/calls.go
@@ -55,11 +55,6 @@
 	b.Freed(func() { in.database.next(in) })
 }
 
-func (d *database) init(in *Instance) {
-	// A quarter of the descriptors: the stubs have a half, and a part stays for our own links.
-	d.most = max(1, in.told.Sockets/4)
-}
-
 func (d *database) call(in *Instance, o *op, until time.Duration, done func(choice.Ending, time.Duration)) {
 	d.drop(o.run.call) // a second call gives up the first
 	c := &call{op: o, began: in.Now(), until: until, done: done}
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -94,10 +94,11 @@
 	// A quarter of the memory is for bodies in hand; the module's own bound is far below it where ops are large. An
 	// eighth is for what was read and is not taken yet.
 	in.most = buffers / 4
-	// The stubs have at most a half of the descriptors; an eighth is for those that are being closed. An eighth
-	// of the memory is for answers that nobody reads.
+	room := roomOf(told.Sockets, taken()) // the runtime's two links are dialled too, and stand beside it
+	in.database.most = room.calls
+	// An eighth of the memory is for answers that nobody reads.
 	in.net = &wire.Net{Buffers: in.pool, Hand: in.Hand, Read: in.HandRead, Accept: func(l *wire.Link) { in.stubs.Accept(l) }, Crowded: func() { in.stubs.MakeRoom() },
-		Most: int64(told.Sockets) * 5 / 8, Limit: told.Sockets, Unread: int64(told.MemoryMB*(1<<20)) / 8}
+		Most: int64(room.stubs), Room: int64(room.all) + 2, Limit: told.Sockets, Unread: int64(told.MemoryMB*(1<<20)) / 8}
 	if told.Callers != nil {
 		in.door = identity.New(*told.Callers, in.Hand, func() (time.Duration, time.Time) { return in.Now(), in.Wall() })
 		in.net.Tokens.Store(told.Callers.Keys != nil)
@@ -117,7 +118,6 @@
 			return nil, err
 		}
 	}
-	in.database.init(in)
 	in.Hand(func() {
 		in.connect()
 		in.stubs.Sweep()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -205,7 +205,7 @@
 
 // report tells the roster that we are here, as an instance does.
 func (r *Relay) report() {
-	if r.roster == nil {
+	if r.roster == nil && r.config.Roster != "" {
 		var err error
 		if r.roster, err = wire.NewRoster(r.config.Roster, r.config.Name); err != nil {
 			slog.Warn("no-roster", "err", err)
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -41,6 +41,7 @@
 	Accept  func(*Link)     // hears, beside the owner loop, of each connection that was accepted
 	Crowded func()          // the owner's: a connection waits for room under Most
 	Most    int64           // accepted connections at a time
+	Room    int64           // connections at a time, accepted and dialled; 0: Most of the accepted ones is the one bound
 	Limit   int             // descriptors that the program may have; 0: not told
 	From    net.IP          // the address that we dial from; nil: any
 	Unread  int64           // past so many bytes, who leaves more than a few unread loses its connection
@@ -641,8 +642,7 @@
 		// Some round trips on one machine: short against an op, long against a core.
 		const again = 2 * time.Millisecond
 		// Danger: what waits in the backlog when it is closed is reset, with the ops written there. Before that all of it is let in.
-		// Danger: what waits in the backlog when it is closed is reset, with the ops written there. Before that all of it is let in.
-		if !g.net.deaf.Load() && (g.net.stubs.Load() >= g.net.Most || g.full != nil && g.full()) {
+		if g.crowded() {
 			g.net.Hand(g.net.Crowded)
 			time.Sleep(again)
 			continue
@@ -651,10 +651,25 @@
 		if err == nil {
 			return c, nil
 		}
+		// Danger: the descriptors may be used up below what we were told, by others in the process or by a lower limit of the machine. An
+		// unused connection makes room then too, and accepting goes on.
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			g.net.Hand(g.net.Crowded)
+		}
 		time.Sleep(again)
 	}
 }
 
+// crowded tells whether there is no room for a further connection. At the end of listening all that is in the backlog is let in, as far as the
+// descriptors go: the calls that are no longer made leave theirs.
+func (g *gate) crowded() bool {
+	stubs := g.net.stubs.Load()
+	if g.net.deaf.Load() {
+		return g.net.Room > 0 && stubs+g.net.calls.Load() >= g.net.Room
+	}
+	return stubs >= g.net.Most || g.full != nil && g.full()
+}
+
 // Deafen lets no further connection come about. Danger: a listening socket that is closed resets what it has
 // not accepted yet, and the ops written there are lost. The kernel drops what asks for a connection from here
 // on; those that stand already are accepted until Shut.
--- a/internal/wire/roster.go
+++ b/internal/wire/roster.go
@@ -14,7 +14,10 @@
 // NewRoster opens the socket that reports go out of.
 func NewRoster(addr, name string) (*Roster, error) {
 	conn, err := net.Dial("udp", addr)
-	return &Roster{conn, name}, err
+	if err != nil {
+		return nil, err
+	}
+	return &Roster{conn, name}, nil
 }
 
 // Report sends one. A roster that is down shows as an error here, and the next report is due soon.
