A cold member gets its part of the ramp from all senders together, not from each

Seen: by a property test over 1 to 300 senders that each hear of a start late and believe the newcomer to be idle: 3.9 times what may come in a span with one sender, 19 and more with five (TestColdOverAllSenders fails on every one of 36 cases). Cause: internal/spread drew a warming member by a tenth of its share, straight up, but of three drawn the least loaded wins, and a cold one is idle; so does who has just said so. Every process that decides did the same. Change: each sender gives a cold member no more than three quarters of its drawn part of the sender's own ops, counted as a credit that begins at a drawn place between two ops (Chooser.allowed). That sums to its part of the fleet's ops, however many send and whether they are known. It holds for relays, services below and hand-over, which share the chooser. A newcomer that is the only one left is given what there is (allCold). After: 36 of 36 cases within N and 2 roots of N + 2 in every span of 2 s, and at least half of what is allowed comes.

--- /dev/null
+++ b/internal/spread/cold_test.go
@@ -0,0 +1,98 @@
+package spread
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// coldDay is a member that starts among others, and many that send to it: each hears of the start late, by a time of its own, has a part of the
+// ops of its own, and believes the newcomer to be idle all the while. It gives the most that came within any of the spans against what was allowed, N and what chance may add.
+func coldDay(senders int, seed uint64) (worst float64, came, allowed float64) {
+	const warm, span, total, count = 12 * time.Second, 2 * time.Second, 1200.0, 20
+	rng := rand.New(rand.NewPCG(seed, uint64(senders)))
+	type sender struct {
+		c     *Chooser
+		part  float64
+		hears time.Duration
+		known bool
+		open  []Name
+	}
+	all := make([]*sender, senders)
+	sum := 0.0
+	members := of(count)
+	for i := range all {
+		all[i] = &sender{c: one(Usual(), members[1:]), part: 0.2 + rng.ExpFloat64(), hears: time.Duration(rng.Float64() * float64(1500*time.Millisecond))}
+		sum += all[i].part
+	}
+	const tick = 10 * time.Millisecond
+	got := make([]float64, warm/span)
+	for now := time.Duration(0); now < warm; now += tick {
+		for _, s := range all {
+			if !s.known && now >= s.hears {
+				s.known = true
+				members[0].Cold, members[0].Warm = warm-now, warm
+				s.c.Set(now, members)
+			}
+			if place, here := s.c.Place("m0"); here {
+				s.c.Asked(now, place, -0.9, 0)
+			}
+			for _, n := range s.open {
+				s.c.Ended(now, n, Served, tick)
+			}
+			s.open = s.open[:0]
+			want := total * tick.Seconds() * s.part / sum
+			for ; want > 0 && rng.Float64() < want; want-- {
+				i, _ := s.c.Pick(now, rng.Float64, nil)
+				s.c.Sent(now, i)
+				n := s.c.At(i)
+				s.open = append(s.open, n)
+				if n == "m0" {
+					got[now/span]++
+				}
+			}
+		}
+	}
+	for i, n := range got {
+		// Its share of all that is sent, by how warm it is in this span: what it bears where the fleet is full.
+		age := (float64(i) + 0.5) * float64(span) / float64(warm)
+		may := total * span.Seconds() / count * (0.1 + 0.9*age)
+		came, allowed = came+n, allowed+may
+		worst = max(worst, n/(may+2*math.Sqrt(may+2)))
+	}
+	return worst, came, allowed
+}
+
+// What all senders together give a cold member stays under what it is allowed and what is put down to chance, however many they are and however
+// late each hears of it; and it is warmed: it gets half of that at the least.
+func TestColdOverAllSenders(t *testing.T) {
+	for _, senders := range []int{1, 2, 3, 5, 10, 20, 30, 100, 300} {
+		for seed := range uint64(4) {
+			worst, came, allowed := coldDay(senders, seed)
+			if worst > 1 || came < allowed/2 {
+				t.Errorf("%d senders, seed %d: %.2f of what may come in a span, %.0f of %.0f in all", senders, seed, worst, came, allowed)
+			}
+		}
+	}
+}
+
+// A newcomer that is the only one left is given what there is; where all are cold nobody is refused for it.
+func Example_allCold() {
+	members := of(3)
+	for i := range members {
+		members[i].Cold, members[i].Warm = 10*s, 10*s
+	}
+	c := one(Usual(), members)
+	chance := rand.New(rand.NewPCG(1, 1)).Float64
+	given := map[bool]int{}
+	for range 100 {
+		i, ok := c.Pick(0, chance, func(i int) bool { return i == 1 })
+		c.Sent(0, i)
+		given[ok && i != 1]++
+	}
+	fmt.Println(given)
+	// Output:
+	// map[true:100]
+}
--- a/internal/spread/hand.go
+++ b/internal/spread/hand.go
@@ -92,9 +92,10 @@
 	if h.c.stale && now-h.c.weighed >= rests || h.c.weighed == 0 && h.c.stale {
 		h.c.weigh(now)
 	}
+	h.c.picks++
 	best, least := -1, math.Inf(1)
 	consider := func(m *member) {
-		if m == nil || m.gone || m.ill || m.Doubted || !h.fresh(now, m) {
+		if m == nil || m.gone || m.ill || m.Doubted || !h.fresh(now, m) || !h.c.allowed(now, m, chance) {
 			return
 		}
 		// Danger: what we know is old and others hand over too: what it would have with this op counts, and half of our own load is the
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -74,6 +74,9 @@
 	weight  float64 // its share, all told
 	place   int
 	gone    bool
+	credit  float64 // ops that a cold one may be given by us; see allowed
+	counted float64 // picks that are in it
+	phased  bool    // it has begun
 }
 
 // Chooser gives ops to members. It belongs to one goroutine.
@@ -91,6 +94,7 @@
 	usual   float64 // s that a served op takes, over all members
 	bad     int     // members that look bad
 	turn    int     // of RoundRobin
+	picks   float64 // ops that were to be given to somebody
 	Panics  uint64  // times that most looked bad, and nobody was held to be
 
 	fresh  [pool]*member // who was last asked and has answered, the next to be overwritten at nextIn
@@ -121,7 +125,10 @@
 		if i, known := c.byName[m.Name]; known {
 			x = c.all[i]
 		} else {
-			x = &member{touched: now}
+			x = &member{touched: now, counted: c.picks}
+		}
+		if m.Cold > x.Cold { // it has started anew
+			x.credit, x.phased = 0, false
 		}
 		x.Member, x.set = m, now
 		x.place = len(all)
@@ -178,6 +185,9 @@
 	m := c.all[i]
 	m.open++
 	m.sent += 1 / m.Capacity
+	if m.cold(now) {
+		m.credit--
+	}
 	// A word is used up by one op. Danger: who has little to do asks little, and would give all of it to the one it heard last.
 	for k, f := range c.fresh {
 		if f == m {
@@ -330,7 +340,7 @@
 	total := 0.0
 	for i, m := range c.all {
 		w := m.Capacity
-		if m.Warm > 0 && m.Cold > 0 {
+		if m.cold(now) {
 			left := max(0, m.Cold-(now-m.set))
 			// From a tenth on, straight up: a process that gets nothing is never warm.
 			w *= 0.1 + 0.9*(1-float64(left)/float64(m.Warm))
@@ -358,6 +368,28 @@
 	}
 }
 
+// cold tells whether a member is not at its full pace yet.
+func (m *member) cold(now time.Duration) bool { return m.Warm > 0 && m.Cold > now-m.set }
+
+// ramp is how much of its drawn share a cold member gets: the sum over all senders then stays under what it bears, where shares are uneven too.
+const ramp = 0.75
+
+// allowed tells whether a cold member may be given an op now. Danger: it has little to do, so of a few that are drawn it is the least loaded one each
+// time, for every process that decides, and gets several times what it was drawn for from all of them together. Each gives it no more than its
+// part of its own ops; that is its part of the fleet's, however many others send and whether they are known or not. Each begins somewhere
+// between two ops: else hundreds would give it their first one together.
+func (c *Chooser) allowed(now time.Duration, m *member, chance func() float64) bool {
+	if !m.cold(now) {
+		return true
+	}
+	if !m.phased {
+		m.phased, m.credit, m.counted = true, -chance(), c.picks
+	}
+	m.credit = min(1, m.credit+(c.picks-m.counted)*ramp*m.weight/c.sums[len(c.sums)-1])
+	m.counted = c.picks
+	return m.credit >= 0
+}
+
 // mostOnce is how many usual ops one that took long counts for: with it alone a member is not slow, with two it is.
 const mostOnce = 5
 
@@ -427,6 +459,7 @@
 	if c.stale && now-c.weighed >= rests || c.weighed == 0 && c.stale {
 		c.weigh(now)
 	}
+	c.picks++
 	total := c.sums[len(c.sums)-1]
 	best, least := -1, math.Inf(1)
 	if c.told.Way != Informed {
@@ -438,7 +471,7 @@
 	from := int(chance() * pool) // of equals the one drawn, not the first
 	for k := range pool {
 		m := c.fresh[(from+k)%pool]
-		if m == nil || m.gone || m.ill || now-m.at > 2*c.fades || not != nil && not(m.place) {
+		if m == nil || m.gone || m.ill || now-m.at > 2*c.fades || not != nil && not(m.place) || !c.allowed(now, m, chance) {
 			continue
 		}
 		if est := c.estimate(now, m); est < least {
@@ -447,7 +480,7 @@
 	}
 	for range c.told.Choices {
 		i := c.draw(chance() * total)
-		if i == best || not != nil && not(i) {
+		if i == best || not != nil && not(i) || !c.allowed(now, c.all[i], chance) {
 			continue
 		}
 		if est := c.estimate(now, c.all[i]); est < least {
@@ -457,14 +490,19 @@
 	if best >= 0 {
 		return best, true
 	}
-	// All that were drawn are out of the question: the first from a drawn place on that is not.
+	// All that were drawn are out of the question: the first from a drawn place on that is not, a cold one only if there is no other.
 	from = min(len(c.all)-1, int(chance()*float64(len(c.all))))
 	for k := range c.all {
-		if i := (from + k) % len(c.all); not == nil || !not(i) {
+		i := (from + k) % len(c.all)
+		switch {
+		case not != nil && not(i):
+		case c.allowed(now, c.all[i], chance):
 			return i, true
+		case best < 0:
+			best = i
 		}
 	}
-	return 0, false
+	return max(best, 0), best >= 0
 }
 
 // draw finds the place whose share a number falls into.
