A cold instance invites no more over all its callers than it bears

Seen by reading the signal in choice.go: while cold, tokens were the welcome for each caller that comes seldom, so 300 callers were invited 300 times a third at once; the level by rank was 0 until somebody had come. TestColdInvitation (1 to 300 callers, none to all of them seen) and Example_coldLevel fail on it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -876,8 +876,8 @@
 
 // signal turns the welcome into the value that the site's callers go by.
 func (d *Desk) signal(now time.Duration) {
-	level := 0.0
-	w := d.welcome()
+	level, steps := 0.0, 20.0 // to one, not to talk at each op
+	w, cold := d.welcome(), d.speedShare() < 1
 	switch d.facts.text("signal") {
 	case "chance":
 		level = w
@@ -887,16 +887,23 @@
 			ranks = append(ranks, c.rank)
 		}
 		slices.Sort(ranks)
-		if out := int((1 - w) * float64(len(ranks))); out > 0 {
+		if cold && len(ranks) < 16 { // too few to go by, and the first answers count: ranks are spread evenly
+			level = 1 - w
+		} else if out := int((1 - w) * float64(len(ranks))); out > 0 {
 			level = ranks[min(out, len(ranks)-1)]
 		}
 	case "tokens":
 		// Callers that seldom have more than one op here are told the chance: a fraction counts by chance.
 		level = w * max(1, d.room(now)/d.spread())
+		// Danger: a cold instance falls under the sum of what all send that may heed this, also those that have not come yet. Each is
+		// told its part of the room.
+		if cold {
+			level, steps = w*d.room(now)/max(d.spread(), d.facts.num("callers")), 200
+		}
 	default:
 		return
 	}
-	level = math.Round(level*20) / 20 // steps of a twentieth, not to talk at each op
+	level = math.Round(level*steps) / steps
 	if level != d.level {
 		d.level = level
 		d.port.Signal(level)
