--- a/cmd/lanewheel/bench_test.go
+++ b/cmd/lanewheel/bench_test.go
@@ -207,3 +207,59 @@
 		})
 	}
 }
+
+// How long a start takes, by its parts: from exec to the line "listening", from there to the link with the runtime, and from the runtime's word that it is up
+// to the first good health check; alone, with the database and the list silent, and many at one moment as in a fleet's restart.
+//
+//	go test -run xxx -bench Start -benchtime 20x ./cmd/lanewheel
+func BenchmarkStart(b *testing.B) {
+	for _, how := range []struct {
+		name string
+		at   int // started at one moment
+		mute bool
+	}{{"alone", 1, false}, {"database and list silent", 1, true}, {"60 at once", 60, false}} {
+		b.Run(how.name, func(b *testing.B) {
+			var parts [4]*hdrhistogram.Histogram
+			for i := range parts {
+				parts[i] = hdrhistogram.New(1, 60e6, 3)
+			}
+			var mu sync.Mutex
+			for range b.N {
+				var all sync.WaitGroup
+				for range how.at {
+					began := time.Now()
+					t := open()
+					if how.mute {
+						t.db.Listener.Close()
+						t.roster.Close()
+					}
+					all.Add(1)
+					go func() {
+						defer all.Done()
+						defer t.close()
+						standin.Until("listening", func() bool { return strings.Contains(t.log.text(), "listening") })
+						listens := time.Now()
+						t.rt.Take()
+						linked := time.Now()
+						s := t.stub()
+						t.rt.Ready("steady")
+						standin.Until("health", func() bool { return s.Check() })
+						ready := time.Now()
+						s.Close()
+						mu.Lock()
+						defer mu.Unlock()
+						for i, span := range []time.Duration{listens.Sub(began), linked.Sub(listens), ready.Sub(linked), ready.Sub(began)} {
+							_ = parts[i].RecordValue(span.Microseconds())
+						}
+					}()
+				}
+				all.Wait()
+			}
+			for i, name := range []string{"listening", "link", "healthy", "in-all"} {
+				b.ReportMetric(float64(parts[i].Min())/1e3, name+"-least-ms")
+				b.ReportMetric(float64(parts[i].ValueAtQuantile(50))/1e3, name+"-median-ms")
+				b.ReportMetric(float64(parts[i].Max())/1e3, name+"-most-ms")
+			}
+		})
+	}
+}
--- a/cmd/lanewheel/helper_test.go
+++ b/cmd/lanewheel/helper_test.go
@@ -89,7 +89,7 @@
 	// Danger: a free port that is given back is taken by a connection of another test. Each town listens on a
 	// loopback address of its own, where nobody else binds.
 	towns++
-	free := standin.Must(net.Listen("tcp", fmt.Sprintf("127.71.%d.%d:0", os.Getpid()%250, towns)))
+	free := standin.Must(net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 71+towns/250, os.Getpid()%250, 1+towns%250)))
 	t.listen = free.Addr().String()
 	free.Close()
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"runtime":%q,"roster":%q,"db":%q,"seed":"8c1f30d27a5be964","stop_ms":1500,
--- a/cmd/lanewheel/starts_test.go
+++ b/cmd/lanewheel/starts_test.go
@@ -129,7 +129,7 @@
 // An address that the life before it still holds: the start waits for it, and does not end; the notice to leave ends that.
 func Example_addressStillHeld() {
 	for _, leave := range []bool{false, true} {
-		before := standin.Must(net.Listen("tcp", fmt.Sprintf("127.72.%d.1:0", os.Getpid()%250)))
+		before := standin.Must(net.Listen("tcp", fmt.Sprintf("127.70.%d.1:0", os.Getpid()%250)))
 		t := open()
 		t.cmd.Process.Kill()
 		<-t.exit
