Ops in a call count with the runs on the cores: they come back together

Checked: the instances' logs (not cold, not stuck); starts stop at 12 of 16, so what is over came back from calls, which crowdCeiling in choice.go left out. Change: those in a call and those that run stay under nine tenths of what is survived, at a start and at the granting of a call; as many starts as there are cores and one call are always allowed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -323,7 +323,11 @@
 // Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
 // Danger: time that earlier calls used up must not cut the next ones short where several are allowed at once:
 // they are given up, linger and use up more, until none is answered, long after what is below is well again.
+// Danger: more calls in hand than the cores survive beside what runs on them, when all come back together.
 func (d *Desk) callRoom(now time.Duration) bool {
+	if crowd := d.survived(); crowd > 0 && d.open > 0 && float64(len(d.running)+d.open+1) > 0.9*crowd {
+		return false
+	}
 	share := d.facts.num("call share")
 	if d.facts.text("below") != "shared" || share <= 0 {
 		return d.callsInHand(now) < 2*d.cores
@@ -544,12 +548,23 @@
 
 // crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
 // Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
+// Danger: those that are in a call come back when what is below does, all at once. With them it is nine tenths,
+// and as many as there are cores go on starting.
 func (d *Desk) crowdCeiling() int {
-	crowd := d.facts.num("crowd a core")
+	crowd := d.survived()
 	if crowd <= 0 {
 		return 2 * d.cores
 	}
-	return max(1, int(0.75*float64(d.cores)*(1+(crowd-1)*d.speedShare())))
+	return max(1, min(int(0.75*crowd), max(d.cores, int(0.9*crowd)-d.open)))
+}
+
+// survived is the crowd on the cores that is survived, 0 if that is not told.
+func (d *Desk) survived() float64 {
+	crowd := d.facts.num("crowd a core")
+	if crowd <= 0 {
+		return 0
+	}
+	return float64(d.cores) * (1 + (crowd-1)*d.speedShare())
 }
 
 // onCores estimates what wants a core now: the last gauge and what has started or ended since.
@@ -895,8 +910,8 @@
 	case "tokens":
 		// Callers that seldom have more than one op here are told the chance: a fraction counts by chance.
 		level = w * max(1, d.room(now)/d.spread())
-		// Danger: a cold instance falls under the sum of what all send that may heed this, also those that have not come yet. Each is
-		// told its part of the room.
+		// Danger: a cold instance falls under the sum of what all send that may heed this, also those that have not
+		// come yet. Each is told its part of the room.
 		if cold {
 			level, steps = w*d.room(now)/max(d.spread(), d.facts.num("callers")), 200
 		}
