--- a/choice/choice.go
+++ b/choice/choice.go
@@ -548,8 +548,8 @@
 
 // crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
 // Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
-// Danger: those that are in a call come back when what is below does, all at once. With them it is nine tenths,
-// and as many as there are cores go on starting.
+// Danger: those that are in a call come back when what is below does, all at once. With them it is nine
+// tenths, and as many as there are cores go on starting.
 func (d *Desk) crowdCeiling() int {
 	crowd := d.survived()
 	if crowd <= 0 {
