--- a/internal/spread/cold_test.go
+++ b/internal/spread/cold_test.go
@@ -96,3 +96,36 @@
 	// Output:
 	// map[true:100]
 }
+
+// While every member rests nobody has a share; a cold one that serves again gets its part then.
+func Example_allAway() {
+	members := of(2)
+	members[0].Cold, members[0].Warm = 60*s, 60*s
+	told := Usual()
+	told.Out = 1
+	c := one(told, members)
+	chance := rand.New(rand.NewPCG(1, 1)).Float64
+	for _, m := range members {
+		for range 2 {
+			c.Ended(s, m.Name, Failed, 0)
+		}
+	}
+	pick := func(now time.Duration, n int) (cold int) {
+		for range n {
+			i, _ := c.Pick(now, chance, nil)
+			c.Sent(now, i)
+			c.Ended(now, c.At(i), Served, 10*ms)
+			cold += 1 - i
+		}
+		return cold
+	}
+	c.stale, c.weighed = true, 0
+	i, ok := c.Pick(s, chance, func(i int) bool { return i == 1 }) // the cold one alone may be given it
+	fmt.Println("shares:", c.sums[1], i, ok)
+	fmt.Println("later, of 1000:", pick(40*s, 1000) > 20) // a fiftieth of its share at the least, as it was bad
+	// Output:
+	// shares: 0 0 true
+	// later, of 1000: true
+}
+
+const ms = time.Millisecond
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -385,7 +385,9 @@
 	if !m.phased {
 		m.phased, m.credit, m.counted = true, -chance(), c.picks
 	}
-	m.credit = min(1, m.credit+(c.picks-m.counted)*ramp*m.weight/c.sums[len(c.sums)-1])
+	if total := c.sums[len(c.sums)-1]; total > 0 { // else all of them rest, and nobody has a share
+		m.credit = min(1, m.credit+(c.picks-m.counted)*ramp*m.weight/total)
+	}
 	m.counted = c.picks
 	return m.credit >= 0
 }
