The test of early writes holds the owner's side on the owner, as -race asks

Seen: under -race 100 of 100 runs of internal/wire's examples failed by writtenBeforeWatched, whose test called the owner's part on the dialling goroutine. Now that goroutine waits until the owner has taken it: the same order, no race; it still fails with the keeping taken out.

--- a/internal/wire/crossings_test.go
+++ b/internal/wire/crossings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -397,7 +398,7 @@
 }
 
 // What is written to a connection that we dial before the poller watches it, more than the kernel takes at once, comes whole, and the close behind
-// it. The owner hears that the connection is open on the spot, while it is being handed to the poller, so it always writes before.
+// it. The connection is handed to the poller only once the owner has taken that it is open, so it always writes before.
 func Example_writtenBeforeWatched() {
 	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
@@ -412,11 +413,15 @@
 	const many = 150 << 10 // under the bound of what a peer may leave unread, over what the kernel takes
 	later := x.Hand
 	x.own(func() {
-		x.Hand = func(calls ...func()) { // the first is that of the open connection
-			x.Hand = later
-			for _, call := range calls {
-				call()
+		var first atomic.Bool
+		x.Hand = func(calls ...func()) { // the first is that of the open connection: who hands it in waits until the owner has taken it
+			if !first.CompareAndSwap(false, true) {
+				later(calls...)
+				return
 			}
+			taken := make(chan struct{})
+			later(append(calls, func() { close(taken) })...)
+			<-taken
 		}
 		x.dial(l, far.Addr().String(), func(refused error) {
 			if refused != nil {
