--- a/internal/wire/crossings_test.go
+++ b/internal/wire/crossings_test.go
@@ -323,6 +323,7 @@
 	_, s := x.peer()
 	fmt.Println("accepted", at(s.Link))
 	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer l.Close() // kept until then: the collector closes one that is out of use, and what stands there is reset
 	addr := l.Addr().String()
 	var stands sync.WaitGroup
 	ready := func(error) { stands.Done() }
