What waits for a call counts with the crowd; the last answers come a twelfth of the drain early

At fault: skip in grantCalls bounded by nothing; crowdCeiling let as many start as there are cores whatever is in a call. Change: runs and open calls together stay under nine tenths of what is survived, or one more than the cores, at a start, a call and where one is left out; those that wait are left room. TestScarceCallsLeftOut fails without it (2 run and 1 in a call where 2 are survived). Seen too: a drain that left four ops unanswered on a customer whose machines pause for up to 300 ms: the notice was heard 242 ms late (log: leaving at 11.607 s, killed at 19.865 s with 8.5 s told), more than the 150 ms that were kept. Kept now: a twelfth of the drain if that is more.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -305,14 +305,20 @@
 func (d *Desk) grantCalls(now time.Duration) {
 	waiting := slices.DeleteFunc(slices.Clone(d.calling), func(o *op) bool { return o.inCall })
 	slices.SortStableFunc(waiting, func(a, b *op) int { return cmp.Compare(a.came+a.target, b.came+b.target) })
+	full := false // what has no room for one has none for the next
 	for _, o := range waiting {
 		switch {
 		case o.answered:
 			d.port.Fail(o.ID) // ends the run, nobody waits for it
-		case d.callRoom(now):
+		case !full && d.callRoom(now):
 			d.call(o, now)
-		case d.skipShare(o.kind) > 0 && d.slack(o, now) < d.timeFor(o, len(d.running))/2:
-			d.skip(o)
+		default:
+			full = true
+			// Danger: where calls are scarce many wait, and leave for the cores together when their slack is spent.
+			spent := d.skipShare(o.kind) > 0 && d.slack(o, now) < d.timeFor(o, len(d.running))/2
+			if spent && d.crowdRoom(len(d.running)) {
+				d.skip(o)
+			}
 		}
 	}
 }
@@ -323,9 +329,10 @@
 // Danger: what all instances call falls over. Given-up calls linger there and are counted for as long.
 // Danger: time that earlier calls used up must not cut the next ones short where several are allowed at once:
 // they are given up, linger and use up more, until none is answered, long after what is below is well again.
-// Danger: more calls in hand than the cores survive beside what runs on them, when all come back together.
+// Danger: more calls in hand than the cores survive beside what runs on them, when all come back together;
+// and calls that leave no room for as many runs as there are cores, or none starts until they are back.
 func (d *Desk) callRoom(now time.Duration) bool {
-	if crowd := d.survived(); crowd > 0 && d.open > 0 && float64(len(d.running)+d.open+1) > 0.9*crowd {
+	if !d.crowdRoom(max(len(d.running), min(d.cores, int(d.crowdMost())-1))) {
 		return false
 	}
 	share := d.facts.num("call share")
@@ -503,7 +510,7 @@
 	}
 	left = min(left, o.due-now)
 	if d.leaving {
-		left = min(left, d.killAt-leaveMargin-now)
+		left = min(left, d.lastAnswers()-now)
 	}
 	return left
 }
@@ -548,14 +555,30 @@
 
 // crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
 // Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
-// Danger: those that are in a call come back when what is below does, all at once. With them it is nine
-// tenths, and as many as there are cores go on starting.
+// Danger: those that are in a call come back when what is below does, all at once, and those that wait for one
+// go on without it when their slack is spent. Both count; as many starts as there are cores go on beside those
+// that wait, less one where none is in a call yet. With those in a call none goes past what is survived.
 func (d *Desk) crowdCeiling() int {
 	crowd := d.survived()
 	if crowd <= 0 {
 		return 2 * d.cores
 	}
-	return max(1, min(int(0.75*crowd), max(d.cores, int(0.9*crowd)-d.open)))
+	room, waits := int(d.crowdMost())-d.open, len(d.calling)-d.open
+	floor := room
+	if waits > 0 && d.open == 0 {
+		floor--
+	}
+	return max(min(1, floor), min(int(0.75*crowd), max(room-waits, min(d.cores, floor))))
+}
+
+// crowdMost is how many may run and be in a call: nine tenths of what is survived, or one more than the cores.
+func (d *Desk) crowdMost() float64 {
+	return max(0.9*d.survived(), min(d.survived(), float64(d.cores+1)))
+}
+
+// crowdRoom tells whether one more may go to the cores, or to a call that it comes back from, beside so many.
+func (d *Desk) crowdRoom(running int) bool {
+	return d.survived() <= 0 || len(d.running)+d.open == 0 || float64(running+d.open+1) <= d.crowdMost()
 }
 
 // survived is the crowd on the cores that is survived, 0 if that is not told.
@@ -962,8 +985,11 @@
 
 // ---- The round
 
-// leaveMargin before the kill all is answered; a pause of the process may come in between.
-const leaveMargin = 150 * time.Millisecond
+// lastAnswers is when all is answered before the kill: 150 ms, or a twelfth of the whole drain.
+// Danger: the process stands still in between, or did when it was told; a long drain can spare the time.
+func (d *Desk) lastAnswers() time.Duration {
+	return d.killAt - max(150*time.Millisecond, (d.killAt-d.toldAt)/12)
+}
 
 // Settle decides, once all events of a batch are in.
 func (d *Desk) Settle() {
@@ -984,7 +1010,7 @@
 func (d *Desk) dueAt(o *op) time.Duration {
 	at := o.due - 2*d.tick
 	if d.leaving {
-		at = min(at, d.killAt-leaveMargin)
+		at = min(at, d.lastAnswers())
 	}
 	return at
 }
