--- a/choice/choice.go
+++ b/choice/choice.go
@@ -330,9 +330,9 @@
 // Danger: time that earlier calls used up must not cut the next ones short where several are allowed at once:
 // they are given up, linger and use up more, until none is answered, long after what is below is well again.
 // Danger: more calls in hand than the cores survive beside what runs on them, when all come back together;
-// and calls that leave no room for as many runs as there are cores, or none starts until they are back.
+// and calls that leave no room for runs on half of the cores, or none starts until they are back.
 func (d *Desk) callRoom(now time.Duration) bool {
-	if !d.crowdRoom(max(len(d.running), min(d.cores, int(d.crowdMost())-1))) {
+	if !d.crowdRoom(max(len(d.running), min(d.halfCores(), int(d.crowdMost())-1))) {
 		return false
 	}
 	share := d.facts.num("call share")
@@ -557,7 +557,7 @@
 // Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
 // Danger: those that are in a call come back when what is below does, all at once, and those that wait for one
 // go on without it when their slack is spent. Both count; as many starts as there are cores go on beside those
-// that wait, less one where none is in a call yet. With those in a call none goes past what is survived.
+// that wait, and leave a place for the next call while half of the cores are kept at work.
 func (d *Desk) crowdCeiling() int {
 	crowd := d.survived()
 	if crowd <= 0 {
@@ -565,12 +565,14 @@
 	}
 	room, waits := int(d.crowdMost())-d.open, len(d.calling)-d.open
 	floor := room
-	if waits > 0 && d.open == 0 {
+	if waits > 0 && (d.open == 0 || room > d.halfCores()) {
 		floor--
 	}
 	return max(min(1, floor), min(int(0.75*crowd), max(room-waits, min(d.cores, floor))))
 }
 
+func (d *Desk) halfCores() int { return (d.cores + 1) / 2 }
+
 // crowdMost is how many may run and be in a call: nine tenths of what is survived, or one more than the cores.
 func (d *Desk) crowdMost() float64 {
 	return max(0.9*d.survived(), min(d.survived(), float64(d.cores+1)))
