Calls of the tier above are repeats of each other only where they say the same

Checked: with one setting changed at a time it went away without the further tier or without calls, not with another sharing time, halting, skip or callers. At fault: keys.like in internal/keep knew a read by class, key and tenant. A call carries the key of the op that makes it. Change: the settings tell the tier; in a further one the body counts as well. The first tier is as it was. Example_callsOfTheTierAbove fails without it (the second call never reaches the runtime).

--- a/cmd/lanewheel/crossings_test.go
+++ b/cmd/lanewheel/crossings_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -265,6 +266,32 @@
 	// 0
 }
 
+// What comes to a further tier are calls, which carry the key of the op that makes them: each has a result of its own, and only one that says the
+// same is answered with another's.
+func Example_callsOfTheTierAbove() {
+	t := up("FRESH", "5", `{"classes"`, `{"tier":1,"classes"`)
+	defer t.close()
+	s := t.stub()
+	call := func(n int, says string) []any {
+		return standin.Op(n, "view", standin.ID(n), []byte(says), "key", "k", "kb", "1")
+	}
+	s.Send(call(1, "lamps"), call(2, "poles"))
+	fmt.Println(t.rt.Hear())
+	fmt.Println(t.rt.Hear())
+	s.Send(call(3, "lamps"))
+	t.rt.Notice("end", standin.ID(1), "success", "of lamps")
+	t.rt.Notice("end", standin.ID(2), "success", "of poles")
+	answers := []string{s.Hear(), s.Hear(), s.Hear()}
+	slices.Sort(answers)
+	fmt.Println(strings.Join(answers, "\n"))
+	// Output:
+	// start 1 route view body "lamps"
+	// start 2 route view body "poles"
+	// ['\x01' '\x01' <nil> ["of lamps" map[]]]
+	// ['\x01' '\x02' <nil> ["of poles" map[]]]
+	// ['\x01' '\x03' <nil> ["of lamps" map[]]]
+}
+
 // A read's repeat while the first runs, in the moment in which the first's answer leaves, when its run has failed, and from another tenant, in
 // another class, after the told time: the first's result, or a run of its own, and one answer each.
 func Example_repeats() {
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -61,6 +61,7 @@
 	at("cold speed share", number, "rules", "start-capacity"),
 	at("warm within", span, "rules", "warm-within-s"),
 	at("tick", span, "tick-s"),
+	at("tier", number, "tier"),
 }
 
 var opTypeNames = []fact{
--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -87,6 +87,9 @@
 		in.repeats[choice.OpType(name)] = kind["repeats"] == "retryable"
 		in.keyed[choice.OpType(name)] = kind["repeats"] == "keyed"
 	}
+	if tier, _ := told.Facts["tier"].(float64); tier > 0 {
+		in.keys.calls = true
+	}
 	for _, tenant := range list(told.Facts, "tenants") {
 		name, _ := tenant["name"].(string)
 		in.tenants[choice.TenantID(name)] = true
--- a/internal/keep/keys.go
+++ b/internal/keep/keys.go
@@ -11,15 +11,17 @@
 // keys are the ops that repeats are known by. Reads of like type and subject are repeats of each other; so are tries of a keyed op, which no
 // field tells of: what they say is the same, byte for byte.
 type keys struct {
-	of   map[like]*kept
-	held map[choice.OpID]*kept
+	of    map[like]*kept
+	held  map[choice.OpID]*kept
+	calls bool // what comes here are calls of the tier above
 }
 
 type like struct {
 	kind    choice.OpType
 	subject string
 	tenant  choice.TenantID   // empty where there are none
-	content [sha256.Size]byte // of a keyed op; zero of a read
+	content [sha256.Size]byte // of a keyed op, or of a read that is a call; zero of any other
+	keyed   bool
 }
 
 // kept is one key and, once its run has gone well, the result.
@@ -38,16 +40,17 @@
 	switch {
 	case keyed && ask.Anew:
 		// Not who sends it: a further try may come by another stub.
-		l = like{kind: o.kind, tenant: o.tenant, content: sha256.Sum256(o.body)}
+		l = like{kind: o.kind, tenant: o.tenant, content: sha256.Sum256(o.body), keyed: true}
 	case !keyed && o.subject != "":
 		l = like{kind: o.kind, subject: o.subject, tenant: o.tenant}
+		// Danger: calls carry the key of the op that makes them, and one op makes several, each for something else. The body tells them apart.
+		if k.calls {
+			l.content = sha256.Sum256(o.body)
+		}
 	}
 	return l
 }
 
-// keyed tells whether it is that of a keyed op.
-func (l like) keyed() bool { return l.content != [sha256.Size]byte{} }
-
 // repeated is the kept op that this one, which came at a time, repeats, or none.
 func (k *keys) repeated(o *op, came time.Duration) choice.OpID {
 	e := k.of[o.like]
@@ -56,7 +59,7 @@
 	}
 	switch {
 	// Danger: an effect that happens twice. While a keyed op is in hand its key does not age, and one that ran and failed is not run again.
-	case e.like.keyed():
+	case e.like.keyed:
 		if e.over && e.until <= came {
 			return ""
 		}
@@ -91,11 +94,11 @@
 // age forgets a key when its time is over.
 func (k *keys) age(in *Instance, e *kept) {
 	at := e.until
-	if e.like.keyed() {
+	if e.like.keyed {
 		at += lately
 	}
 	in.At(at, func() {
-		if k.held[e.id] != e || e.like.keyed() && (!e.over || e.until+lately > in.Now()) || e.until > in.Now() {
+		if k.held[e.id] != e || e.like.keyed && (!e.over || e.until+lately > in.Now()) || e.until > in.Now() {
 			return // it is in hand still, which ages it when it is over; or it got more time
 		}
 		k.drop(e.id)
@@ -137,7 +140,7 @@
 	e.over = true
 	if result != nil {
 		e.result = append(make([]byte, 0, len(result)), result...)
-		if !e.like.keyed() {
+		if !e.like.keyed {
 			e.until = min(e.until, in.Now()+span(in.told.Facts, "shared reads for"))
 		}
 	}
@@ -146,7 +149,7 @@
 	for _, w := range waiting {
 		in.Hand(func() { in.shared(w, e.result, o.ran) })
 	}
-	if e.like.keyed() && !o.ran { // a later try is free to
+	if e.like.keyed && !o.ran { // a later try is free to
 		k.drop(e.id)
 		return
 	}
