A kept key is its op's, not its id's: one sent once more prolonged or dropped it

Change: op.kept in place of a table by id; DropKey goes by the op in hand. Example_idOnceMore fails without it: the first one's key is gone at 99 ms where 200 are told, so a true try of a keyed op would run again.

--- a/internal/keep/instance.go
+++ b/internal/keep/instance.go
@@ -159,6 +159,7 @@
 	subject string
 	tenant  choice.TenantID // whose it is, by its caller's rights where these are known; empty where there are no tenants
 	like    like
+	kept    *kept // its key, once that is stored
 	body    []byte
 	owed    front.Owed // its one answer; nil once it is given or the caller has left
 	run     *run
@@ -541,7 +542,11 @@
 	}
 }
 
-func (in *Instance) DropKey(id choice.OpID) { in.keys.drop(id) }
+func (in *Instance) DropKey(id choice.OpID) {
+	if o := in.ops[id]; o != nil {
+		in.keys.drop(o.kept)
+	}
+}
 
 func (in *Instance) Health(good, fromState bool) {
 	in.health.good, in.health.fromState = good, fromState
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -134,7 +134,7 @@
 	k.over(in, first, []byte("one"))
 	say("keyed, over", true, 199*time.Millisecond)
 	say("keyed, over", true, 200*time.Millisecond)
-	k.drop(first.id)
+	k.drop(first.kept)
 	second := op(true)
 	k.keep(in, second, time.Second)
 	k.over(in, second, nil)
@@ -168,6 +168,30 @@
 func (asker) Reject(string, front.With) { fmt.Println("rejected") }
 func (asker) Settled()                  {}
 
+// The id of an op that is over is sent once more, with something else to say: the key of the first is neither prolonged nor dropped with it.
+func Example_idOnceMore() {
+	in := &Instance{Loop: loop.New(9), told: Told{Facts: choice.Facts{"shared reads for": 100 * time.Millisecond}}}
+	k := &in.keys
+	op := func(body string, keyed bool) *op {
+		o := &op{id: "1", kind: "pay", subject: body, body: []byte(body)}
+		o.like = k.like(o, front.Ask{Anew: true}, keyed)
+		return o
+	}
+	for _, keyed := range []bool{true, false} {
+		first := op("x", keyed)
+		k.keep(in, first, 200*time.Millisecond)
+		first.ran = true
+		k.over(in, first, []byte("one"))
+		again := op("z", keyed)
+		k.keep(in, again, time.Hour)
+		k.drop(again.kept) // it is turned away
+		fmt.Printf("keyed %v: %q, later %q\n", keyed, k.repeated(op("x", keyed), 99*time.Millisecond), k.repeated(op("x", keyed), 201*time.Millisecond))
+	}
+	// Output:
+	// keyed true: "1", later ""
+	// keyed false: "1", later ""
+}
+
 // The runtime comes up behind the notice to leave, in the very batch: what is asked then is turned away, and never sent on.
 func Example_readyBehindTheNotice() {
 	runtime, _ := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/keep/keys.go
+++ b/internal/keep/keys.go
@@ -12,7 +12,6 @@
 // field tells of: what they say is the same, byte for byte.
 type keys struct {
 	of    map[like]*kept
-	held  map[choice.OpID]*kept
 	calls bool // what comes here are calls of the tier above
 }
 
@@ -24,9 +23,11 @@
 	keyed   bool
 }
 
-// kept is one key and, once its run has gone well, the result.
+// kept is one key and, once its run has gone well, the result. It is its op's, not that of an id. Danger: a client that sends the id of an op that
+// is over once more has the key of that one prolonged, or dropped when it is turned away, and a try of a keyed op runs a second time.
 type kept struct {
 	id      choice.OpID
+	gone    bool // forgotten
 	like    like
 	until   time.Duration
 	over    bool
@@ -77,15 +78,15 @@
 		return
 	}
 	if k.of == nil {
-		k.of, k.held = map[like]*kept{}, map[choice.OpID]*kept{}
+		k.of = map[like]*kept{}
 	}
-	e := k.held[o.id]
+	e := o.kept
 	if e == nil {
 		if before := k.of[o.like]; before != nil {
-			k.drop(before.id)
+			k.drop(before)
 		}
 		e = &kept{id: o.id, like: o.like}
-		k.of[e.like], k.held[o.id] = e, e
+		k.of[e.like], o.kept = e, e
 	}
 	e.until = in.Now() + span
 	k.age(in, e)
@@ -98,20 +99,19 @@
 		at += lately
 	}
 	in.At(at, func() {
-		if k.held[e.id] != e || e.like.keyed && (!e.over || e.until+lately > in.Now()) || e.until > in.Now() {
+		if e.gone || e.like.keyed && (!e.over || e.until+lately > in.Now()) || e.until > in.Now() {
 			return // it is in hand still, which ages it when it is over; or it got more time
 		}
-		k.drop(e.id)
+		k.drop(e)
 	})
 }
 
 // drop forgets a key. Those that wait for its result still get it.
-func (k *keys) drop(id choice.OpID) {
-	e := k.held[id]
-	if e == nil || len(e.waiting) > 0 {
+func (k *keys) drop(e *kept) {
+	if e == nil || e.gone || len(e.waiting) > 0 {
 		return
 	}
-	delete(k.held, id)
+	e.gone = true
 	if k.of[e.like] == e {
 		delete(k.of, e.like)
 	}
@@ -133,8 +133,8 @@
 
 // over hears that an op is over, with its result if it went well. The first word counts.
 func (k *keys) over(in *Instance, o *op, result []byte) {
-	e := k.held[o.id]
-	if e == nil || e.over {
+	e := o.kept
+	if e == nil || e.over || e.gone {
 		return
 	}
 	e.over = true
@@ -150,7 +150,7 @@
 		in.Hand(func() { in.shared(w, e.result, o.ran) })
 	}
 	if e.like.keyed && !o.ran { // a later try is free to
-		k.drop(e.id)
+		k.drop(e)
 		return
 	}
 	k.age(in, e)
@@ -160,7 +160,7 @@
 // on is answered by what nobody asked for any more, or stopped and failed with it. Those that wait for it already still get what it comes to.
 // Tries of a keyed op stay with it, whatever became of its answer: its effect may happen.
 func (k *keys) settled(o *op) {
-	if e := k.held[o.id]; e != nil && !e.over && !e.like.keyed && k.of[e.like] == e {
+	if e := o.kept; e != nil && !e.over && !e.like.keyed && k.of[e.like] == e {
 		delete(k.of, e.like)
 	}
 }
