--- a/choice/choice.go
+++ b/choice/choice.go
@@ -555,9 +555,9 @@
 
 // crowdCeiling is the crowd on the cores that is survived, less in proportion while cold.
 // Danger: the instance falls over. Three quarters leave room for runs that come back from calls.
-// Danger: those that are in a call come back when what is below does, all at once, and those that wait for one
-// go on without it when their slack is spent. Both count; as many starts as there are cores go on beside those
-// that wait, and leave a place for the next call while half of the cores are kept at work.
+// Danger: those that are in a call come back when what is below does, all at once, and those that wait for
+// one go on without it when their slack is spent. Both count; as many starts as there are cores go on beside
+// those that wait, and leave a place for the next call while half of the cores are kept at work.
 func (d *Desk) crowdCeiling() int {
 	crowd := d.survived()
 	if crowd <= 0 {
@@ -573,7 +573,8 @@
 
 func (d *Desk) halfCores() int { return (d.cores + 1) / 2 }
 
-// crowdMost is how many may run and be in a call: nine tenths of what is survived, or one more than the cores.
+// crowdMost is how many may run and be in a call: nine tenths of what is survived, or one more than the
+// cores.
 func (d *Desk) crowdMost() float64 {
 	return max(0.9*d.survived(), min(d.survived(), float64(d.cores+1)))
 }
