A test of when the last answers of a drain come

Example_lastAnswers: 700 ms before the kill of a drain of 8.4 s, 150 ms of one of 1.2 s; with the fixed 150 ms it fails (150 ms for both).

--- a/choice/crowd_test.go
+++ b/choice/crowd_test.go
@@ -124,3 +124,24 @@
 		}
 	}
 }
+
+// Before the kill all is answered: a twelfth of a long drain ahead of it, 150 ms ahead at the end of a short one, as the machine may stand still.
+func Example_lastAnswers() {
+	for _, drain := range []time.Duration{8400 * ms, 1200 * ms} {
+		s := open(nil)
+		s.quiet = true
+		a := arrival("a", 10*ms, 0.1)
+		a.Waits, a.ToldWait = true, time.Minute
+		s.read(a)
+		killAt := s.now + drain
+		s.desk.Leave(killAt)
+		s.desk.Settle()
+		for !s.desk.ops["a"].answered && s.now < killAt {
+			s.pass(2*ms, nil)
+		}
+		fmt.Println(drain, "answered before the kill by", killAt-s.now)
+	}
+	// Output:
+	// 8.4s answered before the kill by 700ms
+	// 1.2s answered before the kill by 150ms
+}
