Review: a request that must not run twice is started again on a new runtime link

Cause: resendCommands sends start again for every run that nothing has confirmed, once the fence has come; a run that ends while the fence travels is started again.

--- a/review/cmd/link/main.go
+++ b/review/cmd/link/main.go
@@ -1,5 +1,5 @@
-// Command link runs one instance whose link to the runtime breaks now and then, and checks which replies the runs get
-// and how often each request is run.
+// Command link runs one instance whose link to the runtime breaks now and then, and checks how often each request is
+// run. It also reports which replies the runs get to their calls.
 package main
 
 import (
@@ -14,47 +14,58 @@
 
 const (
 	length        = 95 * time.Second
-	breakInterval = 4 * time.Second // between two breaks of the link, on average
+	breakInterval = 4 * time.Second       // between two breaks of the link, on average
+	rate          = 35                    // requests a second
+	maxPieceGap   = 20 * time.Millisecond // between the two pieces in which each notice arrives
 )
 
-// class is a class of requests, with the number of calls that its runs make.
-type class struct {
-	standin.Class
-	calls int
+// Two classes of glenmorrow-rota. The runs of shift-set make no call. Those of callout-set make 0.6 to 1.4 calls on
+// average: here every second one makes two calls, the others make none. shift-set must not run twice, an effect that it
+// may have on the days with few instances.
+var (
+	shiftSet   = standin.Class{Name: "shift-set", Effect: standin.AtMostOnce}
+	calloutSet = standin.Class{Name: "callout-set", Effect: standin.Idempotent, Calls: true}
+)
+
+// request is one request of a client. Its number is part of its body.
+type request struct {
+	class  string
+	number int
 }
 
-// scene is what a case plays.
-type scene struct {
-	main, other class
-	otherEvery  int           // every so many requests one is of the other class
-	rate        float64       // requests a second
-	maxPieceGap time.Duration // between the two pieces in which each notice arrives
+func (r request) body() string { return fmt.Sprintf("%s %d", r.class, r.number) }
+
+// calls returns the number of calls that a run of the request makes.
+func (r request) calls() int {
+	if r.class == calloutSet.Name && r.number%4 < 2 {
+		return 2
+	}
+	return 0
 }
 
-// scenes are the scenes by name. In reply, the classes are those of tosu-main: status-read makes one to two calls on
-// average, fault-log makes one and must not run twice. In twice, they are those of glenmorrow-rota: shift-set makes no
-// call, rota-view makes one; shift-set has another effect than at the site, as on the days with few instances.
-var scenes = map[string]scene{
-	"reply": {
-		main:        class{standin.Class{Name: "status-read", Effect: standin.Idempotent, Calls: true}, 2},
-		other:       class{standin.Class{Name: "fault-log", Effect: standin.AtMostOnce, Calls: true}, 1},
-		otherEvery:  5,
-		rate:        25,
-		maxPieceGap: 16 * time.Millisecond,
-	},
-	"twice": {
-		main:        class{standin.Class{Name: "shift-set", Effect: standin.AtMostOnce}, 0},
-		other:       class{standin.Class{Name: "rota-view", Effect: standin.Idempotent, Calls: true}, 1},
-		otherEvery:  10,
-		rate:        35,
-		maxPieceGap: 20 * time.Millisecond,
-	},
+// result returns the result that a run of the request makes if each of its calls gets its own reply.
+func (r request) result() string {
+	text := "result for " + r.body()
+	for step := range r.calls() {
+		text += fmt.Sprintf(" / row for %s step %d", r.body(), step+1)
+	}
+	return text
+}
+
+// plan returns what the runtime does in a run.
+func plan(class, body string) standin.Plan {
+	r := request{class: class}
+	_, _ = fmt.Sscanf(body, class+" %d", &r.number) // each body was made by request.body
+	p := standin.Plan{Result: "result for " + body}
+	for range r.calls() + 1 {
+		p.Segments = append(p.Segments, time.Duration(40+rand.IntN(60))*time.Millisecond)
+	}
+	return p
 }
 
 // check counts what the runtime sees.
 type check struct {
 	record *standin.Record
-	scene
 
 	mu          sync.Mutex
 	answers     map[string]int
@@ -73,26 +84,17 @@
 		return standin.ExitNotRun
 	}
 	defer record.Close()
-	played, found := scenes[os.Args[2]]
-	if !found {
-		record.Summary("no scene is named %q", os.Args[2])
-		return standin.ExitNotRun
-	}
-	c := &check{record: record, scene: played, answers: map[string]int{}, over: map[string]bool{}}
+	c := &check{record: record, answers: map[string]int{}, over: map[string]bool{}}
 	if err := c.play(); err != nil {
 		record.Summary("the case could not run: %v", err)
 		return standin.ExitNotRun
 	}
 	record.Summary("answers: %v", c.answers)
+	record.Summary("runs of a request that had been run and must not run twice: %d", c.runTwice)
 	record.Summary("replies that a run got for another call than its own: %d", c.wrongReply)
 	record.Summary("requests served with a result from a wrong reply: %d", c.wrongResult)
-	record.Summary("runs of a request that had been run and must not run twice: %d", c.runTwice)
-	broken := c.wrongReply
-	if os.Args[2] == "twice" {
-		broken = c.runTwice
-	}
 	switch {
-	case broken > 0:
+	case c.runTwice > 0:
 		return standin.ExitBroken
 	case c.answers[standin.Served] < 100:
 		record.Summary("too few requests were served to judge")
@@ -101,28 +103,6 @@
 	return standin.ExitHeld
 }
 
-// plan returns what the runtime does in a run.
-func (c *check) plan(name, body string) standin.Plan {
-	calls := c.other.calls
-	if name == c.main.Name {
-		calls = c.main.calls
-	}
-	p := standin.Plan{Result: "result for " + body}
-	for range calls + 1 {
-		p.Segments = append(p.Segments, time.Duration(40+rand.IntN(60))*time.Millisecond)
-	}
-	return p
-}
-
-// result returns the result that a run of a request makes if each of its calls gets its own reply.
-func (c *check) result(name, body string) string {
-	text := "result for " + body
-	for step := 1; step < len(c.plan(name, body).Segments); step++ {
-		text += fmt.Sprintf(" / row for %s step %d", body, step)
-	}
-	return text
-}
-
 func (c *check) play() error {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -152,7 +132,7 @@
 	}
 	config := standin.Config{
 		Name: "n1", Listen: listen, Runtime: runtime.Addr(), Database: database.Addr(), Registry: registry.Addr(),
-		Settings: standin.Settings(c.main.Class, c.other.Class),
+		Settings: standin.Settings(shiftSet, calloutSet),
 	}
 	path, err := config.Write(dir)
 	if err != nil {
@@ -179,9 +159,9 @@
 // watch sets up the runtime and what is checked there.
 func (c *check) watch(runtime *standin.Runtime) {
 	runtime.Cores = 6
-	runtime.Plan = c.plan
+	runtime.Plan = plan
 	runtime.Record = c.record
-	runtime.PieceGap = func() time.Duration { return time.Duration(rand.Int64N(int64(c.maxPieceGap))) }
+	runtime.PieceGap = func() time.Duration { return time.Duration(rand.Int64N(int64(maxPieceGap))) }
 	runtime.Over = func(id string) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -196,9 +176,7 @@
 		}
 	}
 	runtime.OnStart = func(run *standin.Run) {
-		atMostOnce := run.Class == c.main.Name && c.main.Effect == standin.AtMostOnce ||
-			run.Class == c.other.Name && c.other.Effect == standin.AtMostOnce
-		if run.Number > 1 && atMostOnce {
+		if run.Number > 1 && run.Class == shiftSet.Name {
 			c.mu.Lock()
 			c.runTwice++
 			c.mu.Unlock()
@@ -214,17 +192,17 @@
 	end := time.Now().Add(length)
 	nextBreak := time.Now().Add(breakInterval)
 	for i := 0; time.Now().Before(end); i++ {
-		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / c.rate))
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / rate))
 		if standin.Trouble() && time.Now().After(nextBreak) {
 			nextBreak = time.Now().Add(breakInterval/2 + time.Duration(rand.Int64N(int64(breakInterval))))
 			c.record.Printf("the link to the runtime breaks, %d runs go on", runtime.Running())
 			runtime.BreakLink()
 		}
-		name := c.main.Name
-		if i%c.otherEvery == 0 {
-			name = c.other.Name
+		r := request{shiftSet.Name, i}
+		if i%5 < 2 {
+			r.class = calloutSet.Name
 		}
-		sent.Go(func() { c.send(stubs[i%len(stubs)], name, fmt.Sprintf("%s %d", name, i)) })
+		sent.Go(func() { c.send(stubs[i%len(stubs)], r) })
 	}
 	sent.Wait()
 	for _, stub := range stubs {
@@ -232,18 +210,17 @@
 	}
 }
 
-func (c *check) send(stub *standin.Stub, name, body string) {
+func (c *check) send(stub *standin.Stub, r request) {
 	id := standin.NewID()
-	c.record.Printf("client: sends %s %s %q", id, name, body)
-	answer := stub.Request(name, id, body)
+	c.record.Printf("client: sends %s %s %q", id, r.class, r.body())
+	answer := stub.Request(r.class, id, r.body())
 	c.record.Printf("client: %s %s %q", id, answer.Outcome, answer.Result)
-	right := c.result(name, body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answers[answer.Outcome]++
 	c.over[id] = true
-	if answer.Outcome == standin.Served && answer.Result != right {
+	if answer.Outcome == standin.Served && answer.Result != r.result() {
 		c.wrongResult++
-		c.record.Printf("WRONG RESULT: %s %q instead of %q", id, answer.Result, right)
+		c.record.Printf("WRONG RESULT: %s %q instead of %q", id, answer.Result, r.result())
 	}
 }
