Review: a queue message gets two final answers after a dropped connection

Cause: publishOutcome publishes the reply of a message whose delivery went with its connection as soon as the instance has another session, while whoever gets the redelivery answers too.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,5 +2,11 @@
 # Runs the case; claim.txt says what it shows. It exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x bin/lanewheel ] && [ -x review/bin/queue ] || { echo "bin/lanewheel or review/bin/queue is missing: build first"; exit 2; }
-exec timeout -k 5 115 review/bin/queue review/3/record.txt 
+if [ ! -x bin/lanewheel ] || [ ! -x review/bin/queue ]; then
+	echo "bin/lanewheel or review/bin/queue is missing: run build.sh and review/build.sh first"
+	exit 2
+fi
+timeout -k 5 115 review/bin/queue review/3/record.txt
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
--- a/review/cmd/queue/main.go
+++ b/review/cmd/queue/main.go
@@ -22,7 +22,7 @@
 	length        = 80 * time.Second
 	settle        = 8 * time.Second // for the answers to the last messages
 	resetInterval = 8 * time.Second // between two resets
-	rate          = 8               // messages a second
+	rate          = 10              // messages a second
 	class         = "fault-log"     // non-retryable, as at tosu-main
 	workQueue     = "ops"
 	replyQueue    = "replies"
@@ -119,7 +119,7 @@
 	n.runtime.Cores = 6
 	n.runtime.Record = t.record
 	n.runtime.Plan = func(_, body string) standin.Plan {
-		work := time.Duration(200+rand.IntN(600)) * time.Millisecond
+		work := time.Duration(400+rand.IntN(800)) * time.Millisecond
 		return standin.Plan{Segments: []time.Duration{work}, Result: "result for " + body}
 	}
 	n.runtime.OnStart = func(run *standin.Run) {
