Review: requests are never answered when the notice to drain comes in a pause

Cause: Server.Drain takes the kill to be stop_ms after it handles SIGTERM; a machine that stood still then has less time, and the last answers come behind the kill.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,6 +6,9 @@
 	echo "bin/lanewheel or review/bin/queue is missing: run build.sh and review/build.sh first"
 	exit 2
 fi
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
 timeout -k 5 115 review/bin/queue review/3/record.txt
 code=$?
 [ "$code" -le 1 ] || exit 2
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -107,13 +107,17 @@
 // Config is the platform's configuration of one instance.
 type Config struct {
 	Name, Listen, Runtime, Database, Registry, Settings string
+	StopMS                                              int // 0: 3200, as in the example of the deployment page
 }
 
 // Write writes the configuration to a file in dir and returns its path.
 func (c Config) Write(dir string) (string, error) {
+	if c.StopMS == 0 {
+		c.StopMS = 3200
+	}
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"runtime":%q,"roster":%q,"db":%q,"seed":"8c1f30d27a5be964",`+
-		`"stop_ms":3200,"limits":{"cores":1,"memory_mb":192,"sockets":512},"settings":%s}`,
-		c.Name, c.Listen, c.Runtime, c.Registry, c.Database, c.Settings)
+		`"stop_ms":%d,"limits":{"cores":1,"memory_mb":192,"sockets":512},"settings":%s}`,
+		c.Name, c.Listen, c.Runtime, c.Registry, c.Database, c.StopMS, c.Settings)
 	path := filepath.Join(dir, c.Name+".json")
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
--- a/review/standin/runtime.go
+++ b/review/standin/runtime.go
@@ -38,6 +38,8 @@
 
 	listener net.Listener
 
+	still sync.Mutex // held while the runtime stands still, and while a line is written
+
 	mu      sync.Mutex // guards the fields below, and those of all runs
 	link    *runtimeLink
 	links   int
@@ -110,6 +112,15 @@
 	}
 }
 
+// StandStill makes the runtime stand still for some time: it reads nothing, writes nothing, and its timers wait.
+func (r *Runtime) StandStill(duration time.Duration) {
+	r.still.Lock()
+	defer r.still.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	time.Sleep(duration)
+}
+
 // Links returns the number of links that were synchronized.
 func (r *Runtime) Links() int {
 	r.mu.Lock()
@@ -170,16 +181,24 @@
 		rest := line + "\n"
 		if gap := r.PieceGap(); gap > 0 {
 			cut := 1 + rand.IntN(len(rest)-1)
-			if _, err := link.conn.Write([]byte(rest[:cut])); err != nil {
+			if r.writeTo(link, rest[:cut]) != nil {
 				continue
 			}
 			rest = rest[cut:]
 			time.Sleep(gap)
 		}
-		_, _ = link.conn.Write([]byte(rest))
+		_ = r.writeTo(link, rest) // the end of the link is seen by its reader
 	}
 }
 
+// writeTo writes to a link once the runtime does not stand still.
+func (r *Runtime) writeTo(link *runtimeLink, text string) error {
+	r.still.Lock()
+	defer r.still.Unlock()
+	_, err := link.conn.Write([]byte(text))
+	return err
+}
+
 func (r *Runtime) send(format string, args ...any) {
 	if r.link != nil {
 		r.link.lines <- fmt.Sprintf(format, args...)
