Review case 7: a returned queue message runs again after a redelivery

Cause: the deduplicator of the queue consumer processes any next delivery of a message that it has returned, also one that is marked as redelivered and may have run at another consumer since.

Nothing of the project's code is changed.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,6 +25,7 @@
 // cases holds the cases by the names of their folders.
 var cases = map[string]func(*bench) bool{
 	"6": foreignAnswers,
+	"7": returnedMessageRunsTwice,
 }
 
 func main() {
--- a/review/second/settings.go
+++ b/review/second/settings.go
@@ -27,4 +27,13 @@
 	rotaTenants = `{"name":"water-div","portion":0.45,"quota-per-s":86},
 {"name":"waste-div","portion":0.32,"quota-per-s":61},
 {"name":"roads-div","portion":0.23,"quota-per-s":44}`
+
+	lightClasses = `{"name":"status-read","credit":1,"promise-s":2.8,"give-up-s":8.6,"late-share":0.1,
+"repeat":"idempotent"},
+{"name":"dim-set","credit":1,"promise-s":1,"give-up-s":3.4,"late-share":0.1,
+"repeat":"idempotent"},
+{"name":"fault-log","credit":3,"promise-s":1.7,"give-up-s":4.1,"late-share":0.1,
+"repeat":"at_most_once"}`
+	lightTenants = `{"name":"hinoura","portion":0.5,"quota-per-s":100},
+{"name":"kasemachi","portion":0.5,"quota-per-s":100}`
 )
