Review case 8: a keyed operation that comes again through a proxy runs twice

Cause: a proxy picks an instance by load for each try and keeps no record of keyed operations, so a repeat reaches an instance that knows nothing of the first run.

Nothing of the project's code is changed.

--- a/review/second/client.go
+++ b/review/second/client.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 
 	"lanewheel/internal/fake"
 )
@@ -48,3 +49,15 @@
 	defer client.Close()
 	return b.answer(client, op)
 }
+
+// performWithReset is like perform, but the connection is reset as the answer arrives: the client stub has lost it.
+func (b *bench) performWithReset(listen string, op operation) (code string) {
+	client := b.send(listen, op)
+	defer client.Close()
+	code, _ = b.answer(client, op)
+	if tcp, ok := client.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it fails only on a closed connection
+	}
+	b.record("client: connection of %s is reset, the answer is lost", op.id)
+	return code
+}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*bench) bool{
 	"6": foreignAnswers,
 	"7": returnedMessageRunsTwice,
+	"8": keyedThroughProxy,
 }
 
 func main() {
--- a/review/second/settings.go
+++ b/review/second/settings.go
@@ -28,6 +28,16 @@
 {"name":"waste-div","portion":0.32,"quota-per-s":61},
 {"name":"roads-div","portion":0.23,"quota-per-s":44}`
 
+	bookClasses = `{"name":"calib-fetch","credit":1,"promise-s":3.8,"give-up-s":9.4,"late-share":0.1,
+"repeat":"idempotent"},
+{"name":"shift-lookup","credit":2,"promise-s":1.5,"give-up-s":5.7,"late-share":0.1,
+"repeat":"idempotent"},
+{"name":"runlog-entry","credit":3,"promise-s":2.3,"give-up-s":5.7,"late-share":0.1,
+"repeat":"deduplicated",
+"dedup-window-s":16.989}`
+	bookTenants = `{"name":"nordlys","portion":0.4,"quota-per-s":40},{"name":"havgus","portion":0.36,"quota-per-s":36},
+{"name":"stenvik","portion":0.24,"quota-per-s":24}`
+
 	lightClasses = `{"name":"status-read","credit":1,"promise-s":2.8,"give-up-s":8.6,"late-share":0.1,
 "repeat":"idempotent"},
 {"name":"dim-set","credit":1,"promise-s":1,"give-up-s":3.4,"late-share":0.1,
