Review case 9: a keyed operation that was spilled over runs again

Cause: an instance drops the idempotency record of an operation before it passes the operation on, and makes none when the other instance has run it.

Nothing of the project's code is changed.

--- a/review/second/keyed.go
+++ b/review/second/keyed.go
@@ -89,3 +89,18 @@
 	stubs.Wait()
 	return judgeRuns(b, "entry", runtimes...)
 }
+
+// keyedSpilledOver is case 9: client stubs send keyed operations to one of two instances, at once more than its cores
+// can do in time. It passes some on to the other one. As the answers arrive, the client stubs' connections are reset,
+// and they send the operations again to the same instance, within the window. None may run more than once.
+func keyedSpilledOver(b *bench) bool {
+	_, instances, runtimes := startBookFleet(b, "[spillover]\nbudget = 0.5\n")
+	time.Sleep(3 * time.Second) // the instances learn of each other
+	var stubs sync.WaitGroup
+	for i := range 40 {
+		stubs.Go(func() { repeatAfterReset(b, instances[0].listen, bodyOf(fmt.Sprint("entry ", i), entryWork)) })
+		time.Sleep(2 * time.Millisecond)
+	}
+	stubs.Wait()
+	return judgeRuns(b, "entry", runtimes...)
+}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,6 +27,7 @@
 	"6": foreignAnswers,
 	"7": returnedMessageRunsTwice,
 	"8": keyedThroughProxy,
+	"9": keyedSpilledOver,
 }
 
 func main() {
