Review case 10: a queue message that comes again is acked and never answered

Cause: once the broker has confirmed a reply, the deduplicator takes every further delivery of the message for a lost ack, also a new message that the publisher sends because it has lost the reply.

Nothing of the project's code is changed.

--- a/review/second/keyed.go
+++ b/review/second/keyed.go
@@ -48,11 +48,11 @@
 	}
 }
 
-// judgeRuns reports whether no body that begins with a prefix was started more than once.
-func judgeRuns(b *bench, prefix string, runtimes ...*runtime) bool {
+// judgeRuns reports whether the body of no keyed operation was started more than once.
+func judgeRuns(b *bench, runtimes ...*runtime) bool {
 	operations, twice := 0, 0
 	for body, runs := range runsOf(runtimes...) {
-		if !strings.HasPrefix(body, prefix) {
+		if !strings.HasPrefix(body, "entry") {
 			continue
 		}
 		operations++
@@ -87,7 +87,7 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 	stubs.Wait()
-	return judgeRuns(b, "entry", runtimes...)
+	return judgeRuns(b, runtimes...)
 }
 
 // keyedSpilledOver is case 9: client stubs send keyed operations to one of two instances, at once more than its cores
@@ -102,5 +102,5 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	stubs.Wait()
-	return judgeRuns(b, "entry", runtimes...)
+	return judgeRuns(b, runtimes...)
 }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -24,10 +24,11 @@
 
 // cases holds the cases by the names of their folders.
 var cases = map[string]func(*bench) bool{
-	"6": foreignAnswers,
-	"7": returnedMessageRunsTwice,
-	"8": keyedThroughProxy,
-	"9": keyedSpilledOver,
+	"6":  foreignAnswers,
+	"7":  returnedMessageRunsTwice,
+	"8":  keyedThroughProxy,
+	"9":  keyedSpilledOver,
+	"10": repeatedMessageNotAnswered,
 }
 
 func main() {
--- a/review/second/queue.go
+++ b/review/second/queue.go
@@ -151,3 +151,50 @@
 	}
 	return len(answered)
 }
+
+// repeatedMessageNotAnswered is case 10: an instance consumes messages of a keyed class. The publisher's connection is
+// reset as the replies arrive, and it publishes the same messages again, within the window. Each of these messages must
+// be answered too.
+func repeatedMessageNotAnswered(b *bench) bool {
+	queues := newBroker()
+	defer queues.Close()
+	r := b.newRuntime("n1", 2)
+	p := b.start(instanceOptions{name: "n1", command: "serve", runtime: r.addr(), stopMS: 3200, seed: "1",
+		settings: settingsText(bookClasses, bookTenants), operator: consumerFile(queues)})
+	b.waitHealthy(p)
+	fake.WaitFor("n1 to consume", func() bool { return queues.Counts(workQueue).Consumers == 1 })
+	const messages = 8
+	var published []client.Publishing
+	for i := range messages {
+		name := fmt.Sprint("entry ", i)
+		published = append(published, client.Publishing{
+			MessageId: name, CorrelationId: name, ReplyTo: replyQueue, Type: "runlog-entry", Timestamp: time.Now(),
+			Headers: client.Table{"tenant": "nordlys", "cost": int64(entryWork.Milliseconds())},
+			Body:    []byte(bodyOf(name, entryWork)),
+		})
+	}
+	for _, message := range published {
+		b.record("publisher: message %q", message.MessageId)
+		queues.Publish(workQueue, message)
+		time.Sleep(entryWork)
+	}
+	if first := collectReplies(b, queues, messages, 10*time.Second); first != messages {
+		b.record("BROKEN: %d of %d messages answered", first, messages)
+		return false
+	}
+	if !b.trouble {
+		return judgeRuns(b, r)
+	}
+	b.record("publisher: its connection was reset as these replies arrived, it has lost them")
+	for _, message := range published {
+		b.record("publisher: message %q again", message.MessageId)
+		queues.Publish(workQueue, message)
+		time.Sleep(entryWork)
+	}
+	second := collectReplies(b, queues, messages, 8*time.Second)
+	b.record("work queue %+v", queues.Counts(workQueue))
+	if second != messages {
+		b.record("BROKEN: %d of %d messages that came again have no answer after 8 s", messages-second, messages)
+	}
+	return judgeRuns(b, r) && second == messages
+}
