Fake broker: dead letters and expiries as RabbitMQ documents them

Cause: the fake kept less of a dead-lettered message than a broker does, and something else of its time: no time, routing keys or headers of the first death in x-death, no original-expiration of a message that expired by it, the dead-letter exchange in place of the one to which the message was published, no exchange in deliveries; and a requeued message began its time to live anew.

Change: x-death has time, routing-keys, the earlier exchange, and original-expiration for a message that has expired by its own time to live, for which alone the documentation promises it; a repeated death is counted in its entry, which keeps its other values; x-first-death-* stay; CC goes with a replaced routing key. A requeued message keeps its time of expiry and is not delivered after it.

--- a/internal/amqp/golden_test.go
+++ b/internal/amqp/golden_test.go
@@ -160,6 +160,10 @@
 func publishedProperties(p client.Publishing) map[string]any {
 	headers := map[string]string{}
 	for name, x := range p.Headers {
+		deaths, _ := x.([]any)
+		for _, death := range deaths {
+			death.(client.Table)["time"] = time.Unix(0, 0).UTC() // the time of the test
+		}
 		headers[name] = fmt.Sprintf("%T %v", x, x)
 	}
 	return map[string]any{
--- a/internal/fake/broker/channel.go
+++ b/internal/fake/broker/channel.go
@@ -152,9 +152,8 @@
 	if !to.noAck {
 		ch.unsettled = append(ch.unsettled, unsettled{tag: ch.lastTag, message: m, queue: to.queue})
 	}
-	const exchange = "" // the exchange that the message was published to is not stored
 	method := newMethod(basicDeliver).shortString(to.tag).u64(ch.lastTag).boolean(m.redelivered)
-	ch.send(method.shortString(exchange).shortString(m.routingKey))
+	ch.send(method.shortString(m.exchange).shortString(m.routingKey))
 	const weight = 0 // reserved
 	header := (&payloadWriter{}).u16(classBasic).u16(weight).u64(uint64(len(m.Body))).properties(&m.Publishing)
 	ch.connection.writeFrame(frame{kind: frameHeader, channel: ch.id, payload: header.buffer})
--- a/internal/fake/broker/queue.go
+++ b/internal/fake/broker/queue.go
@@ -16,8 +16,14 @@
 	argDeadLetterRoutingKey = "x-dead-letter-routing-key"
 )
 
-// headerDeaths is the header that lists the queues that dead-lettered a message.
-const headerDeaths = "x-death"
+// The headers that dead-lettering adds or removes.
+const (
+	headerDeaths             = "x-death" // lists the queues that dead-lettered the message
+	headerFirstDeathReason   = "x-first-death-reason"
+	headerFirstDeathQueue    = "x-first-death-queue"
+	headerFirstDeathExchange = "x-first-death-exchange"
+	headerCC                 = "CC" // further routing keys; removed with the routing key
+)
 
 // The reasons for dead-lettering.
 const (
@@ -38,8 +44,11 @@
 type message struct {
 	amqp.Publishing
 	sequence    uint64 // 0 until the message is added to a queue
+	exchange    string // exchange to which it was published or dead-lettered
 	routingKey  string
 	redelivered bool
+	expiry      time.Time // when it expires in its queue; the zero Time: never
+	ownExpiry   bool      // expiry comes from its expiration, not from its queue
 }
 
 // consumer is a consumer of a queue on a channel.
@@ -64,22 +73,47 @@
 	return q
 }
 
-// enqueue adds a message to a queue: a new message at the end, a requeued one at its earlier position. In a queue with
-// priorities these are the positions within the message's priority.
+// enqueue adds a message to a queue: a new message at the end, a requeued one at its earlier position, and with its
+// earlier time of expiry. In a queue with priorities these are the positions within the message's priority.
 func (b *Broker) enqueue(q *queue, added *message) {
+	now := time.Now()
 	if added.sequence == 0 {
 		b.lastSequence++
 		added.sequence = b.lastSequence
 		q.counts.Published++
+		added.setExpiry(q, now)
+	} else if added.hasExpired(now) {
+		q.counts.Expired++
+		b.deadLetter(q, added, reasonExpired)
+		return
 	}
 	index, _ := slices.BinarySearchFunc(q.ready, added, q.compare)
 	q.ready = slices.Insert(q.ready, index, added)
-	if ttl, expires := q.ttlOf(added); expires {
-		time.AfterFunc(ttl, func() { b.expire(q, added) })
+	if !added.expiry.IsZero() {
+		time.AfterFunc(added.expiry.Sub(now), func() { b.expire(q, added) })
 	}
 	b.deliver(q)
 }
 
+// setExpiry sets the time at which a message expires in a queue.
+func (m *message) setExpiry(q *queue, now time.Time) {
+	ttl, expires := q.ttlOf(m)
+	if !expires {
+		return
+	}
+	ownTTL, hasOwnTTL := m.ttl()
+	m.expiry = now.Add(ttl)
+	m.ownExpiry = hasOwnTTL && ownTTL == ttl
+}
+
+func (m *message) hasExpired(now time.Time) bool { return !m.expiry.IsZero() && !now.Before(m.expiry) }
+
+// ttl returns the message's own time to live, if it has a valid one.
+func (m *message) ttl() (ttl time.Duration, isValid bool) {
+	ttl, err := time.ParseDuration(m.Expiration + "ms")
+	return ttl, err == nil && ttl >= 0
+}
+
 // compare returns a negative number if x comes before y in the queue, and a positive number if it comes after y.
 func (q *queue) compare(x, y *message) int {
 	if _, hasPriorities := q.args[argMaxPriority]; hasPriorities && x.Priority != y.Priority {
@@ -90,10 +124,7 @@
 
 // ttlOf returns how long a message may stay ready: the shorter of its own time to live and the queue's.
 func (q *queue) ttlOf(m *message) (ttl time.Duration, expires bool) {
-	if messageTTL, err := time.ParseDuration(m.Expiration + "ms"); err == nil {
-		ttl = messageTTL
-		expires = messageTTL >= 0
-	}
+	ttl, expires = m.ttl()
 	if ms, hasTTL := toInt64(q.args[argMessageTTL]); hasTTL {
 		if queueTTL := time.Duration(ms) * time.Millisecond; !expires || queueTTL < ttl {
 			ttl = queueTTL
@@ -127,39 +158,63 @@
 	b.deadLetter(q, m, reasonExpired)
 }
 
-// deadLetter routes a message to the queue's dead-letter exchange, and counts it in the x-death header as RabbitMQ's
-// extension does. Without a dead-letter exchange the message is lost.
+// deadLetter routes a message to the queue's dead-letter exchange, with the headers that RabbitMQ documents for its
+// dead-letter exchanges. Its expiration is removed. Without a dead-letter exchange the message is lost.
 func (b *Broker) deadLetter(q *queue, m *message, reason string) {
 	exchange, found := q.args[argDeadLetterExchange].(string)
 	if !found {
 		return
 	}
-	key, found := q.args[argDeadLetterRoutingKey].(string)
-	if !found {
-		key = m.routingKey
-	}
 	p := m.Publishing
 	p.Expiration = ""
 	p.Headers = amqp.Table{}
 	maps.Copy(p.Headers, m.Headers)
-	p.Headers[headerDeaths] = addDeath(p.Headers[headerDeaths], q.name, reason, exchange)
+	key, replacesKey := q.args[argDeadLetterRoutingKey].(string)
+	if replacesKey {
+		delete(p.Headers, headerCC)
+	} else {
+		key = m.routingKey
+	}
+	p.Headers[headerDeaths] = addDeath(p.Headers[headerDeaths], newDeath(q, m, reason))
+	if _, diedBefore := p.Headers[headerFirstDeathQueue]; !diedBefore {
+		p.Headers[headerFirstDeathReason] = reason
+		p.Headers[headerFirstDeathQueue] = q.name
+		p.Headers[headerFirstDeathExchange] = m.exchange
+	}
 	b.route(exchange, key, p)
 }
 
-// addDeath returns the x-death list with one more death counted for the queue and reason. That entry comes first.
-func addDeath(earlier any, queueName, reason, exchange string) []any {
-	count := int64(1)
+// newDeath returns the entry of the x-death header for the first death of a message in a queue for a reason. The
+// documentation promises the original expiration only for a message that has expired by it.
+func newDeath(q *queue, m *message, reason string) amqp.Table {
+	death := amqp.Table{
+		"queue":        q.name,
+		"reason":       reason,
+		"count":        int64(1),
+		"time":         time.Unix(time.Now().Unix(), 0), // in seconds, as the protocol has it
+		"exchange":     m.exchange,
+		"routing-keys": []any{m.routingKey},
+	}
+	if reason == reasonExpired && m.ownExpiry {
+		death["original-expiration"] = m.Expiration
+	}
+	return death
+}
+
+// addDeath adds an entry to an x-death list. If the list has an entry for the same queue and reason, that one is
+// counted instead. The entry comes first.
+func addDeath(earlier any, death amqp.Table) []any {
 	others, _ := earlier.([]any)
 	others = slices.DeleteFunc(slices.Clone(others), func(x any) bool {
-		death, isTable := x.(amqp.Table)
-		if !isTable || death["queue"] != queueName || death["reason"] != reason {
+		known, isTable := x.(amqp.Table)
+		if !isTable || known["queue"] != death["queue"] || known["reason"] != death["reason"] {
 			return false
 		}
-		n, _ := toInt64(death["count"])
-		count += n
+		count, _ := toInt64(known["count"])
+		death = maps.Clone(known)
+		death["count"] = count + 1
 		return true
 	})
-	death := amqp.Table{"queue": queueName, "reason": reason, "count": count, "exchange": exchange}
 	return append([]any{death}, others...)
 }
 
@@ -171,7 +226,7 @@
 	}
 	for _, name := range names {
 		if q := b.queues[name]; q != nil {
-			b.enqueue(q, &message{Publishing: p, routingKey: key})
+			b.enqueue(q, &message{Publishing: p, exchange: exchange, routingKey: key})
 		}
 	}
 }
