AMQP: a returned message is recognized, and read as it was published

Cause: a broker removes the expiration of a message that it dead-letters, and replaces its routing key. The expiration is part of the content by which a message is recognized; class, tenant and other values may be read from the routing key.

Change: what x-death documents to keep is put back before a message is read: the routing key, the expiration of a message that expired by it. A rejected message has no documented trace of its expiration: it is compared without it, keeps the deadline of the delivery that is remembered, and otherwise has no more time than its class. Headers that a broker changes are no values.

--- a/internal/amqp/consumer.go
+++ b/internal/amqp/consumer.go
@@ -42,6 +42,9 @@
 	StatusSocket      string                   // path of the local socket that serves the status; empty: none
 	Login             string                   // user:password, replaces the URLs' login; empty: the URLs' login
 	IdempotentClasses map[admission.Class]bool // the classes that may be executed twice
+
+	// ClassTimeouts holds the timeouts of the classes, 0 for none.
+	ClassTimeouts map[admission.Class]time.Duration
 }
 
 // Queue is the operator's configuration of one queue.
@@ -101,6 +104,7 @@
 	var queues []delivery.Queue
 	for i := range config.Queues {
 		queue := &config.Queues[i]
+		queue.Mapping.ClassTimeouts = config.ClassTimeouts
 		c.queues[queue.Name] = queue
 		c.credentials[queue.Name] = &authn.Credential{ConfiguredIdentity: queue.Identity}
 		queues = append(queues, queue.Queue)
--- a/internal/amqp/delivery/deduplicator.go
+++ b/internal/amqp/delivery/deduplicator.go
@@ -16,12 +16,28 @@
 // Arrival is one delivery of a message.
 type Arrival struct {
 	ID          MessageID
-	Digest      uint64 // hash of the message's content
+	Content     Content
+	Deadline    Deadline
 	Tag         Tag
 	Redelivered bool // the broker has delivered the message before, to this instance or to a peer
 	Idempotent  bool // the message's class may be executed twice
 }
 
+// Content identifies the content of a message.
+type Content struct {
+	Digest            uint64 // hash of the content
+	WithoutExpiration uint64 // hash of the content except for its expiration
+	ExpirationUnknown bool   // the broker may have removed an expiration that the message had
+}
+
+// Matches reports whether two deliveries can be of the same message.
+func (c Content) Matches(other Content) bool {
+	if c.ExpirationUnknown != other.ExpirationUnknown {
+		return c.WithoutExpiration == other.WithoutExpiration
+	}
+	return c.Digest == other.Digest
+}
+
 // Decision is how a delivery is handled.
 type Decision int
 
@@ -62,7 +78,8 @@
 
 type record[Reply any] struct {
 	id        MessageID
-	digest    uint64
+	content   Content
+	deadline  Deadline
 	state     recordState
 	tags      []Tag // deliveries to settle with the outcome
 	settledAt time.Duration
@@ -88,18 +105,20 @@
 	r := d.records[arrival.ID]
 	if r == nil {
 		d.records[arrival.ID] = &record[Reply]{
-			id:     arrival.ID,
-			digest: arrival.Digest,
-			tags:   []Tag{arrival.Tag},
+			id:       arrival.ID,
+			content:  arrival.Content,
+			deadline: arrival.Deadline,
+			tags:     []Tag{arrival.Tag},
 		}
 		if arrival.Redelivered && !arrival.Idempotent {
 			return Uncertain, none
 		}
 		return Process, none
 	}
-	if r.digest != arrival.Digest {
+	if !r.content.Matches(arrival.Content) {
 		return IDConflict, none
 	}
+	r.mergeDeadline(arrival)
 	switch r.state {
 	case stateInFlight:
 		r.tags = append(r.tags, arrival.Tag)
@@ -119,6 +138,30 @@
 	return ResendReply, r.reply
 }
 
+// mergeDeadline sets the deadline to the earlier one, unless one of the two was read without an expiration that the
+// broker may have removed. An expiration that the arrival no longer has is not stated.
+func (r *record[Reply]) mergeDeadline(arrival Arrival) {
+	switch {
+	case r.content.ExpirationUnknown && !arrival.Content.ExpirationUnknown:
+		r.content = arrival.Content
+		r.deadline = arrival.Deadline
+	case !r.content.ExpirationUnknown && arrival.Content.ExpirationUnknown:
+	case arrival.Deadline.At.Before(r.deadline.At):
+		r.deadline = arrival.Deadline
+	}
+	if arrival.Deadline.Source == NotStated && r.deadline.Source == FromExpiration {
+		r.deadline.Source = NotStated
+	}
+}
+
+// Deadline returns the deadline of a message by all its deliveries that are remembered, or the zero Deadline.
+func (d *Deduplicator[Reply]) Deadline(id MessageID) Deadline {
+	if r := d.records[id]; r != nil {
+		return r.deadline
+	}
+	return Deadline{}
+}
+
 // ForgetChannel forgets the in-flight deliveries of a closed channel. The broker redelivers their messages, to this
 // instance or to a peer.
 func (d *Deduplicator[Reply]) ForgetChannel(channelID uint64) {
--- a/internal/amqp/delivery/deduplicator_test.go
+++ b/internal/amqp/delivery/deduplicator_test.go
@@ -28,7 +28,7 @@
 				tag++
 				model.receive(t, d, Arrival{
 					ID:          id,
-					Digest:      7,
+					Content:     Content{Digest: 7},
 					Tag:         Tag{ChannelID: channel, Number: tag},
 					Redelivered: rapid.Bool().Draw(t, "redelivered"),
 					Idempotent:  rapid.Bool().Draw(t, "idempotent"),
@@ -119,3 +119,48 @@
 	// true 0
 	// 1
 }
+
+// TestRecognizedAfterReturn guards against a false IDConflict and a later deadline: a message is recognized whatever
+// the broker has removed from it, and keeps the deadline with which it was read first.
+func TestRecognizedAfterReturn(t *testing.T) {
+	at := func(seconds int64) time.Time { return time.Unix(seconds, 0) }
+	stated := Arrival{ID: "m", Content: Content{Digest: 1, WithoutExpiration: 2},
+		Deadline: Deadline{At: at(5), Source: FromExpiration}}
+	plain := Arrival{ID: "m", Content: Content{Digest: 2, WithoutExpiration: 2}, Deadline: Deadline{At: at(30)}}
+	untimed := plain
+	untimed.Deadline.Source = NotStated
+	dead := Arrival{ID: "m", Content: Content{Digest: 2, WithoutExpiration: 2, ExpirationUnknown: true},
+		Deadline: Deadline{At: at(9), Source: NotStated}}
+	restored := stated
+	restored.Deadline.Source = NotStated
+	untimedLater := untimed
+	untimedLater.Deadline.At = at(40)
+	otherBody := Arrival{ID: "m", Content: Content{Digest: 8, WithoutExpiration: 8, ExpirationUnknown: true}}
+	otherExpiration := Arrival{ID: "m", Content: Content{Digest: 9, WithoutExpiration: 2}}
+	for _, tc := range []struct {
+		name          string
+		first, second Arrival
+		want          Decision
+		deadline      Deadline
+	}{
+		{"expiration removed", stated, dead, Process, Deadline{At: at(5), Source: NotStated}},
+		{"expiration restored", stated, restored, Process, Deadline{At: at(5), Source: NotStated}},
+		{"requeued", stated, stated, Process, stated.Deadline},
+		{"never had an expiration", plain, dead, Process, plain.Deadline},
+		{"without a timestamp", untimed, untimedLater, Process, untimed.Deadline},
+		{"removed before it was read", dead, dead, Process, dead.Deadline},
+		{"read before it was removed", dead, stated, Process, stated.Deadline},
+		{"other content", stated, otherBody, IDConflict, stated.Deadline},
+		{"other expiration", stated, otherExpiration, IDConflict, stated.Deadline},
+	} {
+		d := NewDeduplicator[any](10, time.Hour)
+		d.Receive(0, tc.first)
+		d.MarkReturned(0, "m", Reject)
+		if got, _ := d.Receive(0, tc.second); got != tc.want {
+			t.Errorf("%s: decision %d, want %d", tc.name, got, tc.want)
+		}
+		if got := d.Deadline("m"); got != tc.deadline {
+			t.Errorf("%s: deadline %+v, want %+v", tc.name, got, tc.deadline)
+		}
+	}
+}
--- a/internal/amqp/delivery/settlement.go
+++ b/internal/amqp/delivery/settlement.go
@@ -44,6 +44,24 @@
 	return outcomeNames[o]
 }
 
+// DeadlineSource is where a consumer read a message's deadline. It decides which ways back to the broker keep it.
+type DeadlineSource int
+
+// The sources of deadlines.
+const (
+	FromDefault    DeadlineSource = iota // timestamp and the queue's default timeout
+	FromExpiration                       // timestamp and expiration
+	// NotStated is the source of a deadline that another consumer would not find in the message: it has no timestamp, or
+	// the broker may have removed its expiration.
+	NotStated
+)
+
+// Deadline is a message's deadline and its source.
+type Deadline struct {
+	At     time.Time
+	Source DeadlineSource
+}
+
 // Message holds the properties of a message on which its settlement depends.
 type Message struct {
 	PriorAttempts int           // earlier attempts, as counted by the broker or by this instance
--- a/internal/amqp/golden_test.go
+++ b/internal/amqp/golden_test.go
@@ -126,11 +126,11 @@
 		all = append(all, map[string]any{
 			"message":          tt.name,
 			"id":               m.id,
-			"digest":           fmt.Sprintf("%016x", m.digest),
+			"digest":           fmt.Sprintf("%016x", m.content.Digest),
 			"attempt":          m.priorAttempts,
 			"reply to":         m.replyTo,
 			"correlation id":   m.correlationID,
-			"due":              m.deadline.UnixMilli(),
+			"due":              m.deadline.At.UnixMilli(),
 			"not to be served": m.defect,
 			"op":               goldenRequest(&m.request),
 		})
--- a/internal/amqp/mapping.go
+++ b/internal/amqp/mapping.go
@@ -12,6 +12,7 @@
 
 	client "github.com/rabbitmq/amqp091-go"
 
+	"lanewheel/admission"
 	"lanewheel/internal/amqp/delivery"
 	"lanewheel/internal/frontend"
 )
@@ -19,7 +20,6 @@
 const (
 	maxCostMilliseconds       = 1e9
 	maxExpirationMilliseconds = 1e12
-	maxAttemptCount           = 1e6
 )
 
 // defect is the reason why a message cannot be served. The values are sent in replies and are part of the protocol with
@@ -65,6 +65,9 @@
 
 // value returns the value in a message as text, or "" if there is none or its type is not supported.
 func (s Source) value(d *client.Delivery) string {
+	if s.Header && brokerHeaders[s.Name] {
+		return ""
+	}
 	if !s.Header {
 		if read := propertyReaders[s.Name]; read != nil {
 			return read(d)
@@ -107,65 +110,91 @@
 	Class, Tenant, Subject, Rank, Cost, KB, Token Source
 
 	DefaultTimeout time.Duration // timeout of a message without expiration
-	MaxBodyBytes   int
-	DefaultRank    float64 // rank of a message without one
-	DefaultKB      float64 // memory of a message without a value, in KB
+	// ClassTimeouts holds the timeouts of the classes, 0 for none. They limit the DefaultTimeout of a message whose
+	// expiration the broker may have removed.
+	ClassTimeouts map[admission.Class]time.Duration
+	MaxBodyBytes  int
+	DefaultRank   float64 // rank of a message without one
+	DefaultKB     float64 // memory of a message without a value, in KB
 }
 
 // parsedMessage is a message after it has been read.
 type parsedMessage struct {
 	id            delivery.MessageID
-	digest        uint64 // hash of its content
+	content       delivery.Content
 	request       frontend.Request
-	priorAttempts int // earlier attempts, as counted by the broker
+	priorAttempts int // earlier attempts, as counted by the broker or by this instance
 	replyTo       string
 	correlationID string // correlation id of the reply
-	deadline      time.Time
+	deadline      delivery.Deadline
 	defect        defect
 }
 
 // read reads a message. now is used as the time of a message without a timestamp. filterDefect is the defect that the
-// frame filter has found. Each delivery of a message yields the same id and digest and, if the message has a timestamp,
-// the same deadline.
+// frame filter has found. Each delivery of a message yields the same id, class and tenant, and matching content. If the
+// message has a timestamp, each yields the same deadline, unless the broker has removed the expiration and not kept it.
 func (m *Mapping) read(
 	queue delivery.QueueName, incoming *client.Delivery, filterDefect defect, now time.Time,
 ) parsedMessage {
+	deaths := readDeaths(queue, incoming.Headers)
+	published := deaths.restore(queue, incoming)
 	message := parsedMessage{
-		replyTo:       incoming.ReplyTo,
-		correlationID: incoming.CorrelationId,
-		priorAttempts: rejectionCount(queue, incoming.Headers),
+		replyTo:       published.ReplyTo,
+		correlationID: published.CorrelationId,
+		priorAttempts: deaths.rejections,
 		defect:        filterDefect,
 	}
-	sum := m.contentHash(incoming)
-	message.digest = binary.BigEndian.Uint64(sum)
-	message.id = delivery.MessageID(incoming.MessageId)
+	sum := m.contentHash(&published)
+	message.content = m.contentOf(&published, sum)
+	message.content.ExpirationUnknown = deaths.occurred && published.Expiration == ""
+	message.id = delivery.MessageID(published.MessageId)
 	if message.id == "" {
 		message.id = delivery.MessageID("sha256:" + hex.EncodeToString(sum[:16]))
 	}
 	if message.correlationID == "" {
-		message.correlationID = incoming.MessageId
+		message.correlationID = published.MessageId
+	}
+	m.readRequest(&message, queue, &published)
+	m.readDeadline(&message, &published, deaths.sentBefore(now))
+	if deaths.occurred && incoming.Expiration == "" {
+		message.deadline.Source = delivery.NotStated
 	}
-	m.readRequest(&message, queue, incoming)
-	m.readTimeout(&message, incoming, now)
-	if len(incoming.Body) > m.MaxBodyBytes {
+	if len(published.Body) > m.MaxBodyBytes {
 		message.markDefect(tooLong)
 	}
 	return message
 }
 
+// valueSources returns the sources of the values that are part of a message's content.
+func (m *Mapping) valueSources() [6]Source {
+	return [...]Source{m.Class, m.Tenant, m.Subject, m.Rank, m.Cost, m.KB}
+}
+
 // contentHash hashes the content of a message without its id. The input must stay the same between versions of this
 // program, because a redelivery may be read by another version and must have the same hash.
-func (m *Mapping) contentHash(incoming *client.Delivery) []byte {
+func (m *Mapping) contentHash(published *client.Delivery) []byte {
 	var content []byte
 	content = fmt.Appendf(content, "%q%q%q%q%d:",
-		incoming.Type, incoming.ReplyTo, incoming.CorrelationId, incoming.Expiration, incoming.Timestamp.Unix())
-	for _, source := range []Source{m.Class, m.Tenant, m.Subject, m.Rank, m.Cost, m.KB} {
-		content = fmt.Appendf(content, "%q", source.value(incoming))
+		published.Type, published.ReplyTo, published.CorrelationId, published.Expiration, published.Timestamp.Unix())
+	for _, source := range m.valueSources() {
+		content = fmt.Appendf(content, "%q", source.value(published))
 	}
-	sum := sha256.Sum256(append(content, incoming.Body...))
+	sum := sha256.Sum256(append(content, published.Body...))
 	return sum[:]
 }
 
+// contentOf returns the content of a message whose contentHash is sum.
+func (m *Mapping) contentOf(published *client.Delivery, sum []byte) delivery.Content {
+	content := delivery.Content{Digest: binary.BigEndian.Uint64(sum)}
+	content.WithoutExpiration = content.Digest
+	if published.Expiration != "" {
+		withoutExpiration := *published
+		withoutExpiration.Expiration = ""
+		content.WithoutExpiration = binary.BigEndian.Uint64(m.contentHash(&withoutExpiration))
+	}
+	return content
+}
+
 // readRequest fills in the request of a message, except for its timeout.
 func (m *Mapping) readRequest(message *parsedMessage, queue delivery.QueueName, incoming *client.Delivery) {
 	id := sha256.Sum256([]byte(string(queue) + "\x00" + string(message.id)))
@@ -199,25 +228,58 @@
 	message.request.WorkHint = time.Duration(costMilliseconds * float64(time.Millisecond))
 }
 
-// readTimeout reads when a message was sent, and its timeout, which is counted from that time.
-func (m *Mapping) readTimeout(message *parsedMessage, incoming *client.Delivery, now time.Time) {
+// readDeadline reads when a message was sent, and its timeout, which is counted from that time. sentBefore is used as
+// the time of a message without a timestamp.
+func (m *Mapping) readDeadline(message *parsedMessage, published *client.Delivery, sentBefore time.Time) {
+	sentAt := sentBefore
+	source := delivery.NotStated
+	if !published.Timestamp.IsZero() {
+		sentAt = published.Timestamp
+		source = delivery.FromDefault
+	}
 	timeout := m.DefaultTimeout
-	if incoming.Expiration != "" {
-		milliseconds, err := strconv.ParseInt(incoming.Expiration, 10, 64)
-		if err != nil || milliseconds < 0 || milliseconds > maxExpirationMilliseconds {
-			message.markDefect(badExpiration)
-			milliseconds = 0
+	switch {
+	case published.Expiration != "":
+		timeout = message.readExpiration(published.Expiration)
+		if source == delivery.FromDefault {
+			source = delivery.FromExpiration
 		}
-		timeout = time.Duration(milliseconds) * time.Millisecond
-	}
-	sentAt := now
-	if !incoming.Timestamp.IsZero() {
-		sentAt = incoming.Timestamp
+	case message.content.ExpirationUnknown:
+		timeout = m.returnedTimeout(message.request.Class)
 	}
 	message.request.HasTimeout = true
 	message.request.Timeout = timeout
 	message.request.SentUnixMilli = sentAt.UnixMilli()
-	message.deadline = sentAt.Add(timeout)
+	message.deadline = delivery.Deadline{At: sentAt.Add(timeout), Source: source}
+}
+
+// returnedTimeout returns the timeout of a message whose expiration the broker may have removed. It may have stated
+// less than the default, so it has no more time than its class.
+func (m *Mapping) returnedTimeout(class string) time.Duration {
+	if timeout := m.ClassTimeouts[admission.Class(class)]; timeout > 0 {
+		return min(m.DefaultTimeout, timeout)
+	}
+	return m.DefaultTimeout
+}
+
+// readExpiration returns the timeout that an expiration states. An invalid one is a defect.
+func (m *parsedMessage) readExpiration(expiration string) time.Duration {
+	milliseconds, err := strconv.ParseInt(expiration, 10, 64)
+	if err != nil || milliseconds < 0 || milliseconds > maxExpirationMilliseconds {
+		m.markDefect(badExpiration)
+		milliseconds = 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// setDeadline replaces the deadline. Unless its time is the same, it replaces the timeout of the request, too.
+func (m *parsedMessage) setDeadline(deadline delivery.Deadline) {
+	isSameTime := deadline.At.Equal(m.deadline.At)
+	m.deadline = deadline
+	if isSameTime {
+		return
+	}
+	m.request.Timeout = max(0, deadline.At.Sub(time.UnixMilli(m.request.SentUnixMilli)))
 }
 
 // markDefect records a defect. Only the first one is kept.
@@ -226,21 +288,3 @@
 		m.defect = messageDefect
 	}
 }
-
-// rejectionCount returns how often the queue's consumers have rejected a message, as counted in the x-death header.
-func rejectionCount(queue delivery.QueueName, headers client.Table) int {
-	entries, _ := headers["x-death"].([]any)
-	for _, x := range entries {
-		entry, _ := x.(client.Table)
-		if entry["queue"] != string(queue) || entry["reason"] != "rejected" {
-			continue
-		}
-		switch n := entry["count"].(type) {
-		case int64:
-			return int(min(max(n, 0), maxAttemptCount))
-		case int32:
-			return int(max(n, 0))
-		}
-	}
-	return 0
-}
--- a/internal/amqp/mapping_test.go
+++ b/internal/amqp/mapping_test.go
@@ -28,8 +28,8 @@
 		}
 		message := mapping.read("ops", incoming, noDefect, time.Unix(0, 0))
 		reread := mapping.read("ops", incoming, noDefect, time.Unix(1, 0))
-		if message.id == "" || len(message.request.ID) != 16 || message.id != reread.id || message.digest != reread.digest ||
-			message.priorAttempts < 0 || message.request.Timeout < 0 {
+		if message.id == "" || len(message.request.ID) != 16 || message.id != reread.id ||
+			message.content != reread.content || message.priorAttempts < 0 || message.request.Timeout < 0 {
 			t.Fatalf("read as %+v, reread as %+v", message, reread)
 		}
 	})
--- a/internal/amqp/message.go
+++ b/internal/amqp/message.go
@@ -40,7 +40,8 @@
 	}
 	decision, earlierReply := c.deduplicator.Receive(c.Now(), delivery.Arrival{
 		ID:          message.id,
-		Digest:      message.digest,
+		Content:     message.content,
+		Deadline:    message.deadline,
 		Tag:         tag,
 		Redelivered: redelivered,
 		Idempotent:  c.isIdempotent(&message),
@@ -49,14 +50,16 @@
 	if conflict {
 		// Under its own id the message would be confused with the other one, so the digest of its content is added to
 		// its id. It will not be executed, so a redelivery does no harm and the arrival is marked idempotent.
-		message.id = delivery.MessageID(fmt.Sprintf("%s#%x", message.id, message.digest))
+		message.id = delivery.MessageID(fmt.Sprintf("%s#%x", message.id, message.content.Digest))
 		decision, earlierReply = c.deduplicator.Receive(c.Now(), delivery.Arrival{
 			ID:         message.id,
-			Digest:     message.digest,
+			Content:    message.content,
+			Deadline:   message.deadline,
 			Tag:        tag,
 			Idempotent: true,
 		})
 	}
+	message.setDeadline(c.deduplicator.Deadline(message.id))
 	pending := &pendingMessage{consumer: c, queue: queue, message: message}
 	switch decision {
 	case delivery.Join:
@@ -103,7 +106,7 @@
 	switch {
 	case message.defect != noDefect:
 		c.complete(pending, delivery.Unservable, nil, frontend.ResponseMetadata{Reason: string(message.defect)})
-	case !time.Now().Before(message.deadline):
+	case !time.Now().Before(message.deadline.At):
 		c.complete(pending, delivery.Expired, nil, frontend.ResponseMetadata{})
 	default:
 		c.postToServer(func() {
@@ -118,7 +121,7 @@
 ) delivery.Disposition {
 	message := delivery.Message{
 		PriorAttempts: max(pending.message.priorAttempts, c.deduplicator.ReturnCount(pending.message.id)),
-		Remaining:     time.Until(pending.message.deadline),
+		Remaining:     time.Until(pending.message.deadline.At),
 		Idempotent:    c.isIdempotent(&pending.message),
 	}
 	return c.retryBudget.Settle(message, pending.queue.Settlement, outcome, retryAfter, c.random.Float64())
--- a/internal/lifecycle/frontends.go
+++ b/internal/lifecycle/frontends.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"sync/atomic"
+	"time"
 
 	"lanewheel/admission"
 	"lanewheel/internal/amqp"
@@ -17,8 +18,10 @@
 	}
 	queueConfig := operatorConfig.File.AMQP.Config
 	queueConfig.IdempotentClasses = map[admission.Class]bool{}
+	queueConfig.ClassTimeouts = map[admission.Class]time.Duration{}
 	for _, class := range config.Settings.Classes {
 		queueConfig.IdempotentClasses[class.Name] = class.Idempotency == admission.Idempotent
+		queueConfig.ClassTimeouts[class.Name] = class.Timeout
 	}
 	instance.AddFrontend(amqp.New(queueConfig, instance, instance.Post, config.Seed))
 }
