AMQP: a rejected message is returned only where its deadline survives

Cause: the broker removes the expiration of a message that it dead-letters, and the next reader takes default-timeout. Without a timestamp each reader counts anew. A requeued message that expires unread is dropped, and nobody answers it.

Change: a rejected message is returned only if it has a timestamp and no expiration, and, for the retry queue, no value from a routing key that is replaced. Any other is submitted again at this instance after the pause that it would have had, with its attempts and the budget counted as before; it is settled at once when the instance drains. New counter tried-again.

Example_rejected, TestReturnedMessageRunsOnce and one message of TestGoldenPublished now state a timestamp, as their subject is a message that is returned; what they check is as before.

--- a/internal/amqp/consumer.go
+++ b/internal/amqp/consumer.go
@@ -70,10 +70,11 @@
 	brokers      *brokerSelector
 	queues       map[delivery.QueueName]*Queue
 	inFlight     map[delivery.MessageID]*pendingMessage
-	session      *session // nil while no broker is connected
-	lastID       uint64   // last id given to a session, a channel or a consumer tag
-	pollingLoad  bool     // a request for the server's load is pending
-	pacedAcks    []func() // acks delayed by paceAck, in order
+	waiting      map[*pendingMessage]bool // messages in flight that wait for their retry
+	session      *session                 // nil while no broker is connected
+	lastID       uint64                   // last id given to a session, a channel or a consumer tag
+	pollingLoad  bool                     // a request for the server's load is pending
+	pacedAcks    []func()                 // acks delayed by paceAck, in order
 	counters     counters
 	logSampler   logging.Sampler[logLineKind]
 
@@ -98,6 +99,7 @@
 		queues:       map[delivery.QueueName]*Queue{},
 		credentials:  map[delivery.QueueName]*authn.Credential{},
 		inFlight:     map[delivery.MessageID]*pendingMessage{},
+		waiting:      map[*pendingMessage]bool{},
 		closed:       make(chan struct{}),
 		counters:     newCounters(),
 	}
@@ -141,6 +143,7 @@
 		c.draining = true
 		c.drainDeadline = c.Now() + within
 		c.applyLimits()
+		c.settleWaiting()
 		c.continueDrain()
 	})
 }
--- a/internal/amqp/consumer_test.go
+++ b/internal/amqp/consumer_test.go
@@ -183,12 +183,12 @@
 			responder.Done()
 		}
 		bed := startTestbed(b, server, testConfig(b, queue))
-		b.Publish("ops", newMessage("once", "pay"))
+		b.Publish("ops", timedMessage("once", "pay"))
 		bed.waitReplies(1)
 		counts := b.Counts("ops")
 		fmt.Println(bed.replies(), "put back", counts.Requeued, "rejected", counts.Rejected)
 		if useRetryQueue {
-			b.Publish("ops", newMessage("never", "pay"))
+			b.Publish("ops", timedMessage("never", "pay"))
 			fake.WaitFor("the message in the dead-letter queue", func() bool { return b.Counts("dead").Ready == 1 })
 			fmt.Println(bed.replies(), "rejected", b.Counts("ops").Rejected, "dead", b.Counts("dead").Ready)
 		}
--- a/internal/amqp/counters.go
+++ b/internal/amqp/counters.go
@@ -18,6 +18,7 @@
 	eventJoined                       // a delivery joined a message in flight
 	eventRepeated                     // a delivery of a message whose reply was already confirmed
 	eventReplyResent                  // a delivery of a message whose reply was not yet confirmed
+	eventResubmitted                  // a rejected message was submitted to this instance's server again
 	eventReplyKept                    // a reply was not published because the message's deliveries were lost
 )
 
@@ -34,6 +35,8 @@
 		return "repeated"
 	case eventReplyResent:
 		return "answered-again"
+	case eventResubmitted:
+		return "tried-again"
 	case eventReplyKept:
 		return "answer-kept"
 	}
--- a/internal/amqp/delivery/deduplicator.go
+++ b/internal/amqp/delivery/deduplicator.go
@@ -162,6 +162,12 @@
 	return Deadline{}
 }
 
+// HasDeliveries reports whether a message is in flight with a delivery that can be settled.
+func (d *Deduplicator[Reply]) HasDeliveries(id MessageID) bool {
+	r := d.records[id]
+	return r != nil && len(r.tags) > 0
+}
+
 // ForgetChannel forgets the in-flight deliveries of a closed channel. The broker redelivers their messages, to this
 // instance or to a peer.
 func (d *Deduplicator[Reply]) ForgetChannel(channelID uint64) {
--- a/internal/amqp/delivery/retrybudget.go
+++ b/internal/amqp/delivery/retrybudget.go
@@ -76,7 +76,9 @@
 	return Disposition{Action: Requeue}
 }
 
-// settleRejected returns the message for another attempt if its attempts, its deadline and the budget allow one.
+// settleRejected schedules another attempt if the message's attempts, its deadline and the budget allow one. The
+// message is returned to the broker for it, unless it might come back with another deadline. A message with an
+// expiration is not requeued either: if it expires before a peer receives it, nobody replies to it.
 func (b *RetryBudget) settleRejected(
 	message Message, config SettlementConfig, retryAfter time.Duration, random float64,
 ) Disposition {
@@ -93,8 +95,31 @@
 		action = Reject
 		total += config.RetryQueueDelay
 	}
+	shortened := total < message.Remaining && !message.returnsInTime(action, total)
+	if message.DeadlineSource == FromExpiration || !message.keepsDeadline(action) || shortened {
+		action = Resubmit
+		total = delay
+	}
 	if total >= message.Remaining || !b.take() {
 		return finalDisposition(Failed, config)
 	}
 	return Disposition{Action: action, Delay: delay}
 }
+
+// keepsDeadline reports whether each consumer, also one of an earlier version, reads the message's deadline again after
+// the message has been returned. A broker returns a requeued message as it was published. It removes the expiration of
+// a dead-lettered one, and documents only for expired messages that it keeps it elsewhere.
+func (m Message) keepsDeadline(action Action) bool {
+	if action == Reject {
+		return m.DeadlineSource == FromDefault && !m.ChangedByRetryQueue
+	}
+	return m.DeadlineSource != NotStated
+}
+
+// returnsInTime reports whether a message that is returned after a delay comes back before its deadline.
+func (m Message) returnsInTime(action Action, delay time.Duration) bool {
+	if action == Reject {
+		delay += m.RetryQueueShortens
+	}
+	return delay < m.Remaining
+}
--- a/internal/amqp/delivery/settlement.go
+++ b/internal/amqp/delivery/settlement.go
@@ -64,9 +64,14 @@
 
 // Message holds the properties of a message on which its settlement depends.
 type Message struct {
-	PriorAttempts int           // earlier attempts, as counted by the broker or by this instance
-	Remaining     time.Duration // time until its deadline
-	Idempotent    bool          // the message's class may be executed twice
+	PriorAttempts  int           // earlier attempts, as counted by the broker or by this instance
+	Remaining      time.Duration // time until its deadline
+	DeadlineSource DeadlineSource
+	Idempotent     bool // the message's class may be executed twice
+	// ChangedByRetryQueue is set if the broker removes or replaces values of the message when it is dead-lettered.
+	ChangedByRetryQueue bool
+	// RetryQueueShortens is by how much earlier the deadline is for a consumer that gets the message from the retry queue.
+	RetryQueueShortens time.Duration
 }
 
 // SettlementConfig configures how the messages of a queue are settled.
@@ -83,9 +88,10 @@
 
 // The actions that settle a delivery.
 const (
-	Ack     Action = iota
-	Requeue        // return the message to the queue, for a peer
-	Reject         // dead-letter the message into the retry queue
+	Ack      Action = iota
+	Requeue         // return the message to the queue, for a peer
+	Reject          // dead-letter the message into the retry queue
+	Resubmit        // keep the message and submit it to this instance's server again
 )
 
 // Disposition is the decision on how to settle a message.
--- a/internal/amqp/delivery/settlement_test.go
+++ b/internal/amqp/delivery/settlement_test.go
@@ -15,7 +15,7 @@
 	retry := SettlementConfig{MaxAttempts: 3, UseRetryQueue: true, RetryQueueDelay: time.Second, DeadLetter: true}
 	show := func(name string, m Message, config SettlementConfig, outcome Outcome, retryAfter time.Duration) {
 		d := b.Settle(m, config, outcome, retryAfter, 0.5)
-		action := [...]string{"ack", "requeue", "reject"}[d.Action]
+		action := [...]string{"ack", "requeue", "reject", "resubmit"}[d.Action]
 		fmt.Printf("%s: answer %v %s dead %v then %s in %v\n",
 			name, d.Reply, d.Outcome, d.DeadLetter, action, d.Delay)
 	}
@@ -27,6 +27,11 @@
 	show("rejected, no time", Message{Remaining: 20 * time.Millisecond}, plain, Rejected, 0)
 	show("rejected, no time for the retry queue", Message{Remaining: time.Second}, retry, Rejected, 0)
 	show("rejected, last attempt", Message{Remaining: time.Minute, PriorAttempts: 2}, retry, Rejected, 0)
+	stated, unstated := m, m
+	stated.DeadlineSource, unstated.DeadlineSource = FromExpiration, NotStated
+	show("rejected, expiration", stated, plain, Rejected, 0)
+	show("rejected, expiration, retry queue", stated, retry, Rejected, 0)
+	show("rejected, deadline not stated", unstated, plain, Rejected, 0)
 	show("failed", m, retry, Failed, 0)
 	show("denied", m, plain, Denied, 0)
 	show("drained", m, retry, Drained, 0)
@@ -49,15 +54,19 @@
 	// rejected, no time: answer true failed dead true then ack in 0s
 	// rejected, no time for the retry queue: answer true failed dead true then ack in 0s
 	// rejected, last attempt: answer true out-of-attempts dead true then ack in 0s
+	// rejected, expiration: answer false  dead false then resubmit in 200ms
+	// rejected, expiration, retry queue: answer false  dead false then resubmit in 200ms
+	// rejected, deadline not stated: answer false  dead false then resubmit in 200ms
 	// failed: answer true failed dead true then ack in 0s
 	// denied: answer true denied dead true then ack in 0s
 	// drained: answer false  dead false then requeue in 0s
 	// drained, must not run twice: answer false  dead false then reject in 0s
-	// budget 7 false
+	// budget 4 false
 }
 
-// Each message is either replied to or returned. It is returned only if it was not executed, another attempt fits into
-// the remaining time, and the attempts and the budget allow one. Only Succeeded is replied to as a success.
+// Each message is either replied to or retried. It is retried only if it was not executed, another attempt fits into
+// the remaining time, and the attempts and the budget allow one. It is returned to the broker only if whoever receives
+// it reads a deadline that is not later than this one, and has not passed. Only Succeeded is replied to as a success.
 func TestSettle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fraction := rapid.Float64Range(0, 1).Draw(t, "fraction")
@@ -70,11 +79,7 @@
 		}
 		fresh, retries := 0, 0
 		for range 100 {
-			message := Message{
-				PriorAttempts: rapid.IntRange(0, 6).Draw(t, "attempt"),
-				Idempotent:    rapid.Bool().Draw(t, "idempotent"),
-				Remaining:     time.Duration(rapid.IntRange(-1000, 10_000).Draw(t, "remaining")) * time.Millisecond,
-			}
+			message := drawMessage(t)
 			if message.PriorAttempts == 0 {
 				budget.CountFresh()
 				fresh++
@@ -85,10 +90,7 @@
 			if disposition.Reply {
 				checkReplied(t, disposition, config, outcome)
 			} else {
-				checkReturned(t, disposition, message, config, outcome)
-			}
-			if outcome == Drained && disposition.Reply {
-				t.Fatalf("drained message was replied to: %+v", disposition)
+				checkRetried(t, disposition, message, config, outcome)
 			}
 			if outcome == Rejected && !disposition.Reply {
 				retries++
@@ -100,6 +102,27 @@
 	})
 }
 
+func drawMessage(t *rapid.T) Message {
+	return Message{
+		PriorAttempts:       rapid.IntRange(0, 6).Draw(t, "attempt"),
+		Idempotent:          rapid.Bool().Draw(t, "idempotent"),
+		Remaining:           time.Duration(rapid.IntRange(-1000, 10_000).Draw(t, "remaining")) * time.Millisecond,
+		DeadlineSource:      DeadlineSource(rapid.IntRange(int(FromDefault), int(NotStated)).Draw(t, "source")),
+		ChangedByRetryQueue: rapid.Bool().Draw(t, "changed"),
+		RetryQueueShortens:  time.Duration(rapid.IntRange(0, 5000).Draw(t, "shortens")) * time.Millisecond,
+	}
+}
+
+// survives reports whether a message that is returned after a delay is read with a deadline that is not later than this
+// one, and that has not passed.
+func survives(message Message, config SettlementConfig, action Action, delay time.Duration) bool {
+	if action == Requeue {
+		return message.DeadlineSource != NotStated && delay < message.Remaining
+	}
+	return message.DeadlineSource == FromDefault && !message.ChangedByRetryQueue &&
+		delay+config.RetryQueueDelay < message.Remaining-message.RetryQueueShortens
+}
+
 func checkReplied(t *rapid.T, d Disposition, config SettlementConfig, outcome Outcome) {
 	t.Helper()
 	if d.Action != Ack || d.Delay != 0 || d.Outcome.String() == "" ||
@@ -107,19 +130,32 @@
 		d.DeadLetter != (config.DeadLetter && outcome != Succeeded) {
 		t.Fatalf("invalid disposition of a message with outcome %s that is replied to: %+v", outcome, d)
 	}
+	if outcome == Drained {
+		t.Fatalf("drained message was replied to: %+v", d)
+	}
 }
 
-func checkReturned(t *rapid.T, d Disposition, message Message, config SettlementConfig, outcome Outcome) {
+func checkRetried(t *rapid.T, d Disposition, message Message, config SettlementConfig, outcome Outcome) {
 	t.Helper()
 	if outcome != Rejected && outcome != Drained || d.Action == Ack || d.DeadLetter {
-		t.Fatalf("invalid disposition of a returned message with outcome %s: %+v", outcome, d)
+		t.Fatalf("invalid disposition of a retried message with outcome %s: %+v", outcome, d)
+	}
+	if outcome == Rejected && d.Action != Resubmit && !survives(message, config, d.Action, d.Delay) {
+		t.Fatalf("message %+v is returned and loses its deadline: %+v", message, d)
 	}
 	if outcome == Drained && (d.Delay != 0 || d.Action == Requeue && config.UseRetryQueue && !message.Idempotent) {
 		t.Fatalf("invalid disposition of a drained message: %+v", d)
 	}
-	if outcome == Rejected && (d.Delay >= message.Remaining || message.PriorAttempts+1 >= config.MaxAttempts ||
-		config.UseRetryQueue != (d.Action == Reject) ||
-		config.UseRetryQueue && d.Delay+config.RetryQueueDelay >= message.Remaining) {
+	if outcome == Drained {
+		return
+	}
+	if d.Delay >= message.Remaining || message.PriorAttempts+1 >= config.MaxAttempts {
 		t.Fatalf("invalid disposition of rejected message %+v: %+v", message, d)
 	}
+	if d.Action != Resubmit && (config.UseRetryQueue != (d.Action == Reject) || message.DeadlineSource == FromExpiration) {
+		t.Fatalf("rejected message %+v returned on the wrong way: %+v", message, d)
+	}
+	if d.Action == Resubmit && message.DeadlineSource == FromDefault && !config.UseRetryQueue {
+		t.Fatalf("rejected message %+v is kept, though requeueing it keeps its deadline: %+v", message, d)
+	}
 }
--- a/internal/amqp/golden_test.go
+++ b/internal/amqp/golden_test.go
@@ -223,7 +223,7 @@
 	again.Headers = client.Table{
 		"x-death": []any{client.Table{"queue": "ops", "reason": "rejected", "count": int64(2)}},
 	}
-	retried := newMessage("retried", "refuse")
+	retried := timedMessage("retried", "refuse")
 	retried.Headers = client.Table{"tenant": "water"}
 	first, second := newMessage("same", "view"), newMessage("same", "view")
 	first.Body, second.Body = []byte("hold"), []byte("another")
@@ -315,6 +315,8 @@
 		eventJoined:          "joined",
 		eventRepeated:        "repeated",
 		eventReplyResent:     "answered-again",
+		eventResubmitted:     "tried-again",
+		eventReplyKept:       "answer-kept",
 	} {
 		if got := event.String(); got != want {
 			t.Errorf("event %d has name %q, want %q", event, got, want)
--- a/internal/amqp/mapping.go
+++ b/internal/amqp/mapping.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -128,6 +129,12 @@
 	correlationID string // correlation id of the reply
 	deadline      delivery.Deadline
 	defect        defect
+
+	// changedByRetryQueue is set if the broker removes or replaces values of the message when it is dead-lettered.
+	changedByRetryQueue bool
+	// retryQueueDeadline is the deadline for a consumer that gets the message from the retry queue, if it has a timestamp
+	// and no expiration.
+	retryQueueDeadline time.Time
 }
 
 // read reads a message. now is used as the time of a message without a timestamp. filterDefect is the defect that the
@@ -159,6 +166,8 @@
 	if deaths.occurred && incoming.Expiration == "" {
 		message.deadline.Source = delivery.NotStated
 	}
+	message.changedByRetryQueue = incoming.Expiration != "" ||
+		m.usesRoutingKey() && incoming.RoutingKey != string(queue)
 	if len(published.Body) > m.MaxBodyBytes {
 		message.markDefect(tooLong)
 	}
@@ -170,6 +179,13 @@
 	return [...]Source{m.Class, m.Tenant, m.Subject, m.Rank, m.Cost, m.KB}
 }
 
+// usesRoutingKey reports whether a value of a request is read from the routing key.
+func (m *Mapping) usesRoutingKey() bool {
+	routingKey := Source{Name: "routing-key"}
+	sources := m.valueSources()
+	return m.Token == routingKey || slices.Contains(sources[:], routingKey)
+}
+
 // contentHash hashes the content of a message without its id. The input must stay the same between versions of this
 // program, because a redelivery may be read by another version and must have the same hash.
 func (m *Mapping) contentHash(published *client.Delivery) []byte {
@@ -238,6 +254,7 @@
 		source = delivery.FromDefault
 	}
 	timeout := m.DefaultTimeout
+	returnedTimeout := m.returnedTimeout(message.request.Class)
 	switch {
 	case published.Expiration != "":
 		timeout = message.readExpiration(published.Expiration)
@@ -245,12 +262,13 @@
 			source = delivery.FromExpiration
 		}
 	case message.content.ExpirationUnknown:
-		timeout = m.returnedTimeout(message.request.Class)
+		timeout = returnedTimeout
 	}
 	message.request.HasTimeout = true
 	message.request.Timeout = timeout
 	message.request.SentUnixMilli = sentAt.UnixMilli()
 	message.deadline = delivery.Deadline{At: sentAt.Add(timeout), Source: source}
+	message.retryQueueDeadline = sentAt.Add(returnedTimeout)
 }
 
 // returnedTimeout returns the timeout of a message whose expiration the broker may have removed. It may have stated
--- a/internal/amqp/message.go
+++ b/internal/amqp/message.go
@@ -108,6 +108,8 @@
 		c.complete(pending, delivery.Unservable, nil, frontend.ResponseMetadata{Reason: string(message.defect)})
 	case !time.Now().Before(message.deadline.At):
 		c.complete(pending, delivery.Expired, nil, frontend.ResponseMetadata{})
+	case c.draining:
+		c.complete(pending, delivery.Drained, nil, frontend.ResponseMetadata{})
 	default:
 		c.postToServer(func() {
 			c.server.Submit(message.request, c.credentials[pending.queue.Name], pending)
@@ -115,15 +117,23 @@
 	}
 }
 
+// settlementMessage returns the properties of a message on which its settlement depends.
+func (c *Consumer) settlementMessage(message *parsedMessage) delivery.Message {
+	return delivery.Message{
+		PriorAttempts:       max(message.priorAttempts, c.deduplicator.ReturnCount(message.id)),
+		Remaining:           time.Until(message.deadline.At),
+		DeadlineSource:      message.deadline.Source,
+		Idempotent:          c.isIdempotent(message),
+		ChangedByRetryQueue: message.changedByRetryQueue,
+		RetryQueueShortens:  max(0, message.deadline.At.Sub(message.retryQueueDeadline)),
+	}
+}
+
 // decideDisposition decides how to settle a message. A retry is taken from the budget.
 func (c *Consumer) decideDisposition(
 	pending *pendingMessage, outcome delivery.Outcome, retryAfter time.Duration,
 ) delivery.Disposition {
-	message := delivery.Message{
-		PriorAttempts: max(pending.message.priorAttempts, c.deduplicator.ReturnCount(pending.message.id)),
-		Remaining:     time.Until(pending.message.deadline.At),
-		Idempotent:    c.isIdempotent(&pending.message),
-	}
+	message := c.settlementMessage(&pending.message)
 	return c.retryBudget.Settle(message, pending.queue.Settlement, outcome, retryAfter, c.random.Float64())
 }
 
@@ -147,7 +157,7 @@
 	}
 	disposition := c.decideDisposition(pending, outcome, metadata.RetryAfter)
 	if disposition.Delay > 0 {
-		c.ScheduleAt(c.Now()+disposition.Delay, func() { c.settle(pending, result, disposition, metadata.Reason) })
+		c.scheduleRetry(pending, disposition)
 		return
 	}
 	c.settle(pending, result, disposition, metadata.Reason)
--- a/internal/amqp/redelivery_test.go
+++ b/internal/amqp/redelivery_test.go
@@ -124,7 +124,7 @@
 	}
 	config := testConfig(b, queue)
 	firstBed := startTestbed(b, first.fakeServer, config)
-	b.Publish("ops", newMessage("a", "pay"))
+	b.Publish("ops", timedMessage("a", "pay"))
 	fake.WaitFor("the return of the message", func() bool { return b.Counts("ops").Rejected > 0 })
 	secondBed := startTestbed(b, second.fakeServer, config)
 	fake.WaitFor("the run at the peer", func() bool { return second.responses.len() == 1 })
--- a/internal/amqp/return_test.go
+++ b/internal/amqp/return_test.go
@@ -1,18 +1,46 @@
 package amqp
 
 import (
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	client "github.com/rabbitmq/amqp091-go"
 
 	"lanewheel/admission"
+	"lanewheel/internal/amqp/delivery"
 	"lanewheel/internal/fake"
 	"lanewheel/internal/fake/broker"
+	"lanewheel/internal/frontend"
 )
 
-// classTimeout is the timeout of the classes in these tests; that of defaultQueue is longer.
-const classTimeout = 4 * time.Second
+const (
+	// classTimeout is the timeout of the classes in these tests; that of defaultQueue is longer.
+	classTimeout = 4 * time.Second
+	// answerSlack is how much later than its deadline a message may be answered.
+	answerSlack = 130 * time.Millisecond
+)
+
+// rejectAll makes a server reject all requests.
+func (s *fakeServer) rejectAll() {
+	s.respond = func(_ frontend.Request, _ string, responder frontend.Responder) {
+		responder.Reject(frontend.ResponseMetadata{})
+		responder.Done()
+	}
+}
+
+// returningConfig returns the configuration of a consumer that returns rejected messages, through the retry queue if
+// useRetryQueue is set.
+func returningConfig(b *broker.Broker, useRetryQueue bool) Config {
+	queue := defaultQueue()
+	queue.Settlement = delivery.SettlementConfig{
+		MaxAttempts: 3, UseRetryQueue: useRetryQueue, RetryQueueDelay: 20 * time.Millisecond, Reply: true,
+	}
+	config := testConfig(b, queue)
+	config.ClassTimeouts = map[admission.Class]time.Duration{"pay": classTimeout, "view": classTimeout}
+	return config
+}
 
 // rawConsumer consumes a queue with the client library alone.
 type rawConsumer struct {
@@ -41,6 +69,82 @@
 	return client.Delivery{}
 }
 
+// lastVersionDeadline returns the deadline that a peer of the version before reads, which looks at the timestamp and
+// the expiration alone.
+func lastVersionDeadline(d client.Delivery, now time.Time) time.Time {
+	timeout := defaultQueue().Mapping.DefaultTimeout
+	if milliseconds, err := strconv.Atoi(d.Expiration); err == nil {
+		timeout = time.Duration(milliseconds) * time.Millisecond
+	}
+	if !d.Timestamp.IsZero() {
+		now = d.Timestamp
+	}
+	return now.Add(timeout)
+}
+
+// TestReturnKeepsDeadline guards against answers after a message's time (review/10): a rejected message is returned
+// only if each peer, also one of the version before, reads a deadline that is not later. Otherwise it is answered here
+// in time.
+func TestReturnKeepsDeadline(t *testing.T) {
+	for n := range 24 {
+		hasTimestamp, useRetryQueue := n%2 == 0, n/2%2 == 0
+		class := []string{"pay", "view"}[n/4%2]
+		expiration := []string{"", "1500", "8000"}[n/8] // none, below and above classTimeout
+		name := fmt.Sprintf("timestamp %v, retry queue %v, %s, expiration %q", hasTimestamp, useRetryQueue, class, expiration)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			message := newMessage("a", class)
+			message.Expiration = expiration
+			if hasTimestamp {
+				message.Timestamp = time.Now().Add(time.Second) // it is sent in whole seconds
+			}
+			checkReturned(t, message, useRetryQueue)
+		})
+	}
+}
+
+// checkReturned publishes a message to a consumer that rejects it and to a peer of the version before. Either the peer
+// gets it and reads no later deadline, or the consumer replies by the deadline.
+func checkReturned(t *testing.T, message client.Publishing, useRetryQueue bool) {
+	t.Helper()
+	b, server := newBroker(), newFakeServer()
+	if useRetryQueue {
+		b = newRetryBroker(20)
+	}
+	server.rejectAll()
+	bed := startTestbed(b, server, returningConfig(b, useRetryQueue))
+	defer bed.close()
+	published := time.Now()
+	b.Publish("ops", message)
+	first := client.Delivery{Timestamp: message.Timestamp, Expiration: message.Expiration}
+	deadline := lastVersionDeadline(first, published)
+	fake.WaitFor("the first delivery", func() bool { return b.Counts("ops").Delivered > 0 })
+	peer := newRawConsumer(t, b, "ops")
+	mayReturn := !message.Timestamp.IsZero() && message.Expiration == ""
+	returned := false
+	fake.WaitFor("the message at the peer, or a reply", func() bool {
+		select {
+		case d := <-peer.deliveries:
+			returned = true
+			if read := lastVersionDeadline(d, time.Now()); read.After(deadline) {
+				t.Errorf("a peer reads a deadline that is %v later", read.Sub(deadline))
+			}
+			_ = d.Ack(false)
+		default:
+		}
+		return returned || b.Counts("replies").Ready > 0
+	})
+	if returned != mayReturn {
+		t.Errorf("returned %v, want %v", returned, mayReturn)
+	}
+	late := time.Since(deadline)
+	for _, reply := range b.DrainQueue("replies") {
+		if late > answerSlack || reply.Type != delivery.OutOfAttempts.String() {
+			t.Errorf("answered %q %v after its deadline, want %q before it", reply.Type, late, delivery.OutOfAttempts)
+		}
+	}
+}
+
 // TestReadAfterReturn guards against values that change with a message's way through the broker: its id, class, tenant
 // and content, a false id-twice, and a deadline that is later than the first one. Rejections are those of a peer of the
 // version before, which returns messages of any kind.
@@ -146,3 +250,101 @@
 		t.Errorf("deadline %v, want at most %v", after.deadline.At, wantDeadline)
 	}
 }
+
+// TestResubmitted checks that a message that is not returned is tried again here, as often as another one would be
+// returned, and that its attempts are counted.
+func TestResubmitted(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		rejections int
+		want       string // outcome
+		deadLetter int64  // attempts in the dead letter; 0: there is none
+	}{
+		{"at last", 2, "acked", 0},
+		{"never", 3, "out-of-attempts", 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, server := newRetryBroker(20), newFakeServer()
+			attempts := 0
+			server.respond = func(_ frontend.Request, body string, responder frontend.Responder) {
+				attempts++
+				if attempts <= tc.rejections {
+					responder.Reject(frontend.ResponseMetadata{})
+				} else {
+					responder.Succeed([]byte(body), frontend.ResponseMetadata{})
+				}
+				responder.Done()
+			}
+			config := returningConfig(b, true)
+			config.Queues[0].Settlement.DeadLetter = true
+			bed := startTestbed(b, server, config)
+			defer bed.close()
+			message := timedMessage("a", "pay")
+			message.Expiration = "60000"
+			b.Publish("ops", message)
+			bed.waitReplies(1)
+			bed.waitSettled()
+			if reply := b.DrainQueue("replies")[0]; reply.Type != tc.want || attempts != 3 {
+				t.Errorf("%s after %d attempts, want %s after 3", reply.Type, attempts, tc.want)
+			}
+			if counts := b.Counts("ops"); counts.Requeued+counts.Rejected > 0 {
+				t.Errorf("the message was returned: %+v", counts)
+			}
+			deadAttempts := int64(0)
+			for _, p := range b.DrainQueue("dead") {
+				deadAttempts, _ = p.Headers[attemptHeader].(int64)
+			}
+			if deadAttempts != tc.deadLetter {
+				t.Errorf("%d attempts in the dead letter, want %d", deadAttempts, tc.deadLetter)
+			}
+		})
+	}
+}
+
+// TestResubmittedWithoutDelivery guards against an attempt for a message that the broker has taken back while it
+// waited: its deliveries were lost with their connection, and a peer owes the reply.
+func TestResubmittedWithoutDelivery(t *testing.T) {
+	b, first, second := newBroker(), newFakeServer(), newFakeServer()
+	attempts := 0
+	first.respond = func(_ frontend.Request, _ string, responder frontend.Responder) {
+		attempts++
+		responder.Reject(frontend.ResponseMetadata{RetryAfter: 300 * time.Millisecond})
+		responder.Done()
+	}
+	config := returningConfig(b, false)
+	bed := startTestbed(b, first, config)
+	message := timedMessage("a", "view")
+	message.Expiration = "60000"
+	b.Publish("ops", message)
+	waitWaiting(bed.consumer)
+	peer := startTestbed(b, second, config)
+	fake.WaitFor("both consumers", func() bool { return b.Counts("ops").Consumers == 2 })
+	loseDelivery(b, 1, 3, 1)
+	bed.waitReplies(1)
+	fake.WaitFor("the end of the wait", func() bool {
+		waiting := make(chan int)
+		bed.consumer.Post(func() { waiting <- len(bed.consumer.waiting) + len(bed.consumer.inFlight) })
+		return <-waiting == 0
+	})
+	attemptsAtFirst := make(chan int)
+	first.Post(func() { attemptsAtFirst <- attempts })
+	if n := <-attemptsAtFirst; n != 1 {
+		t.Errorf("%d attempts where the delivery was lost, want 1", n)
+	}
+	if got := fmt.Sprint(peer.replies()); got != "[c-a acked done a]" {
+		t.Errorf("replies %s, want one by the peer", got)
+	}
+	bed.consumer.Drain(time.Second)
+	fake.WaitFor("the end of the drain", bed.consumer.Drained)
+	peer.close()
+	first.Post(first.Quit)
+}
+
+// waitWaiting waits until a message waits for its retry.
+func waitWaiting(consumer *Consumer) {
+	fake.WaitFor("a message that waits", func() bool {
+		waiting := make(chan int)
+		consumer.Post(func() { waiting <- len(consumer.waiting) })
+		return <-waiting == 1
+	})
+}
--- a/internal/amqp/testbed_test.go
+++ b/internal/amqp/testbed_test.go
@@ -209,6 +209,13 @@
 	return client.Publishing{MessageId: id, Type: class, ReplyTo: "replies", CorrelationId: "c-" + id, Body: []byte(id)}
 }
 
+// timedMessage returns a message with a timestamp. The consumers that read it agree on its deadline.
+func timedMessage(id, class string) client.Publishing {
+	message := newMessage(id, class)
+	message.Timestamp = time.Now()
+	return message
+}
+
 // lateMessage returns a message whose deadline has passed.
 func lateMessage() client.Publishing {
 	message := newMessage("late", "view")
