AMQP: a draining instance answers what would come back after its time

What callers would see: a message that was read and not started when its instance drained could be answered after its time by the next one.

Cause: what a draining instance returns was decided by the class alone, not by whether the next reader knows its deadline, nor by whether it comes back from the retry queue before that.

Change: such a message is answered failed before the instance ends; the rest is returned as before. The decision about a delivery that comes while the instance drains has moved to package delivery.

--- a/internal/amqp/delivery/retrybudget.go
+++ b/internal/amqp/delivery/retrybudget.go
@@ -68,12 +68,30 @@
 
 // settleDrained returns the message regardless of its number of attempts, because the instance is draining and the
 // message did not fail. A requeued message is redelivered, and if it is not idempotent the next consumer cannot
-// distinguish it from one that was executed. Such a message is returned through the retry queue if there is one.
+// distinguish it from one that was executed. Such a message is returned through the retry queue if there is one. A
+// message that would come back with another deadline, or after it, is replied to.
 func settleDrained(message Message, config SettlementConfig) Disposition {
+	action := Requeue
+	delay := time.Duration(0)
 	if config.UseRetryQueue && !message.Idempotent {
-		return Disposition{Action: Reject}
+		action = Reject
+		delay = config.RetryQueueDelay
+	}
+	if !message.keepsDeadline(action) || !message.returnsInTime(action, delay) {
+		return finalDisposition(Failed, config)
+	}
+	return Disposition{Action: action}
+}
+
+// ReturnUnreceived decides how a draining instance returns a delivery that it has not processed. It returns false if
+// the delivery must be processed instead, because it would come back with other values, or after its deadline. A
+// requeued message that must not be executed twice would be answered as uncertain at a peer, so it is returned through
+// the retry queue if there is one. A redelivered one must stay recognizable as such.
+func ReturnUnreceived(message Message, config SettlementConfig, redelivered bool) (action Action, ok bool) {
+	if !config.UseRetryQueue || redelivered || message.Idempotent {
+		return Requeue, true
 	}
-	return Disposition{Action: Requeue}
+	return Reject, !message.ChangedByRetryQueue && message.returnsInTime(Reject, config.RetryQueueDelay)
 }
 
 // settleRejected schedules another attempt if the message's attempts, its deadline and the budget allow one. The
--- a/internal/amqp/message.go
+++ b/internal/amqp/message.go
@@ -34,9 +34,12 @@
 	c.flow.RecordDelivery(queue.Name)
 	c.session.trackDelivery(queue.Name, tag)
 	if c.draining {
-		c.counters.events[eventReturnedAtDrain]++
-		c.session.returnDelivery(queue.Name, tag, c.returnUnreceived(queue, &message, redelivered))
-		return
+		action, ok := delivery.ReturnUnreceived(c.settlementMessage(&message), queue.Settlement, redelivered)
+		if ok {
+			c.counters.events[eventReturnedAtDrain]++
+			c.session.returnDelivery(queue.Name, tag, action)
+			return
+		}
 	}
 	decision, earlierReply := c.deduplicator.Receive(c.Now(), delivery.Arrival{
 		ID:          message.id,
@@ -84,16 +87,6 @@
 	}
 }
 
-// returnUnreceived returns how to return a delivery that the draining consumer does not receive. A requeued message
-// that must not be executed twice would be answered as uncertain at a peer. A redelivered one must stay recognizable as
-// such.
-func (c *Consumer) returnUnreceived(queue *Queue, message *parsedMessage, redelivered bool) delivery.Action {
-	if queue.Settlement.UseRetryQueue && !redelivered && !c.isIdempotent(message) {
-		return delivery.Reject
-	}
-	return delivery.Requeue
-}
-
 // isIdempotent reports whether the class of a message may be executed twice.
 func (c *Consumer) isIdempotent(message *parsedMessage) bool {
 	return c.config.IdempotentClasses[admission.Class(message.request.Class)]
