AMQP: a message that is kept for its retry does not hold up its queue

Cause: a rejected message that can't be returned keeps its place in its queue's window while it waits. At the minimum of the window, 1 by default, nothing further was read meanwhile, for up to some seconds, and what waits unread may expire.

Change: a message that takes the last place is answered failed at once. Above the minimum it is kept as before.

--- a/internal/amqp/delivery/retrybudget.go
+++ b/internal/amqp/delivery/retrybudget.go
@@ -96,7 +96,8 @@
 
 // settleRejected schedules another attempt if the message's attempts, its deadline and the budget allow one. The
 // message is returned to the broker for it, unless it might come back with another deadline. A message with an
-// expiration is not requeued either: if it expires before a peer receives it, nobody replies to it.
+// expiration is not requeued either: if it expires before a peer receives it, nobody replies to it. Such a message is
+// kept for its next attempt, unless further messages would have to wait for it unread.
 func (b *RetryBudget) settleRejected(
 	message Message, config SettlementConfig, retryAfter time.Duration, random float64,
 ) Disposition {
@@ -118,7 +119,8 @@
 		action = Resubmit
 		total = delay
 	}
-	if total >= message.Remaining || !b.take() {
+	holdsUpQueue := action == Resubmit && message.FillsWindow
+	if holdsUpQueue || total >= message.Remaining || !b.take() {
 		return finalDisposition(Failed, config)
 	}
 	return Disposition{Action: action, Delay: delay}
--- a/internal/amqp/message.go
+++ b/internal/amqp/message.go
@@ -34,7 +34,7 @@
 	c.flow.RecordDelivery(queue.Name)
 	c.session.trackDelivery(queue.Name, tag)
 	if c.draining {
-		action, ok := delivery.ReturnUnreceived(c.settlementMessage(&message), queue.Settlement, redelivered)
+		action, ok := delivery.ReturnUnreceived(c.settlementMessage(queue, &message), queue.Settlement, redelivered)
 		if ok {
 			c.counters.events[eventReturnedAtDrain]++
 			c.session.returnDelivery(queue.Name, tag, action)
@@ -111,13 +111,14 @@
 }
 
 // settlementMessage returns the properties of a message on which its settlement depends.
-func (c *Consumer) settlementMessage(message *parsedMessage) delivery.Message {
+func (c *Consumer) settlementMessage(queue *Queue, message *parsedMessage) delivery.Message {
 	return delivery.Message{
 		PriorAttempts:       max(message.priorAttempts, c.deduplicator.ReturnCount(message.id)),
 		Remaining:           time.Until(message.deadline.At),
 		DeadlineSource:      message.deadline.Source,
 		Idempotent:          c.isIdempotent(message),
 		ChangedByRetryQueue: message.changedByRetryQueue,
+		FillsWindow:         c.flow.InFlight(queue.Name) >= c.flow.Limit(queue.Name),
 		RetryQueueShortens:  max(0, message.deadline.At.Sub(message.retryQueueDeadline)),
 	}
 }
@@ -126,7 +127,7 @@
 func (c *Consumer) decideDisposition(
 	pending *pendingMessage, outcome delivery.Outcome, retryAfter time.Duration,
 ) delivery.Disposition {
-	message := c.settlementMessage(&pending.message)
+	message := c.settlementMessage(pending.queue, &pending.message)
 	return c.retryBudget.Settle(message, pending.queue.Settlement, outcome, retryAfter, c.random.Float64())
 }
 
--- a/internal/amqp/retry.go
+++ b/internal/amqp/retry.go
@@ -31,7 +31,7 @@
 	}
 	c.counters.events[eventResubmitted]++
 	again := &pendingMessage{consumer: c, queue: pending.queue, message: pending.message}
-	again.message.priorAttempts = c.settlementMessage(&pending.message).PriorAttempts + 1
+	again.message.priorAttempts = c.settlementMessage(pending.queue, &pending.message).PriorAttempts + 1
 	c.submit(again)
 }
 
--- a/internal/amqp/return_test.go
+++ b/internal/amqp/return_test.go
@@ -301,6 +301,30 @@
 	}
 }
 
+// TestKeptOnlyBesideOthers guards against a queue that stands still while a message waits for its retry: a message that
+// takes the last place of its queue's window is answered at once.
+func TestKeptOnlyBesideOthers(t *testing.T) {
+	b, server := newBroker(), newFakeServer()
+	server.respond = func(_ frontend.Request, _ string, responder frontend.Responder) {
+		responder.Reject(frontend.ResponseMetadata{RetryAfter: fake.WaitTimeout})
+		responder.Done()
+	}
+	config := returningConfig(b, false)
+	config.Queues[0].MinInFlight, config.Queues[0].MaxInFlight = 2, 2
+	bed := startTestbed(b, server, config)
+	defer bed.close()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		message := timedMessage(id, "view")
+		message.Expiration = "60000"
+		b.Publish("ops", message)
+		waitWaiting(bed.consumer) // for the first one
+	}
+	bed.waitReplies(3)
+	if counts := b.Counts("ops"); counts.Unsettled != 1 || counts.Ready != 0 {
+		t.Errorf("%+v, want one message that waits and none unread", counts)
+	}
+}
+
 // TestResubmittedWithoutDelivery guards against an attempt for a message that the broker has taken back while it
 // waited: its deliveries were lost with their connection, and a peer owes the reply.
 func TestResubmittedWithoutDelivery(t *testing.T) {
