Tests: fakes record a request before they answer it

Cause: the fake coordinator of TestDoFindsLeader put a request into its channel after it had written the answer, and the test takes the channel's length as soon as it has the answer. The fake runtime of AutoRun sent the end of a run that fails before it reported its start.

Change: both record first. TestDoFindsLeader also compares the two lines with what the client sends; TestRuntimeFaults demands that the start is recorded when the end arrives, with a pause in the recording.

Read for the same order, and found to record first: the fakes of the broker (a closed connection is removed after its confirmation, and the test that counts open ones waits), runtime, database and registry, the coordinator and status socket of internal/cli/fleetcommands, the endpoints of internal/forward and internal/proxy, the runtimes of internal/server; forwardtest records nothing.

--- a/internal/fake/autorun.go
+++ b/internal/fake/autorun.go
@@ -14,7 +14,7 @@
 // AutoRun makes the runtime carry out the instance's commands by itself until its link closes. At most cores runs use
 // a core at the same time; the others wait. The duration of a run is drawn from an exponential distribution with the
 // given mean. Every third run makes one call and waits for its result. If onStart is not nil, it is called for each
-// start, on another goroutine.
+// start, on another goroutine, before any notice about the run is sent.
 func (r *Runtime) AutoRun(cores int, mean time.Duration, seed uint64, onStart func(id, class, body string)) {
 	w := &worker{
 		runtime: r,
@@ -90,6 +90,11 @@
 		callPending: w.startCount%callInterval == 0,
 	}
 	w.runs[id] = started
+	if w.onStart != nil {
+		encoded, _ := message[fieldBody].(string)
+		body, _ := base64.StdEncoding.DecodeString(encoded) // on an error, the part that was decoded
+		w.onStart(id, fmt.Sprint(message[fieldClass]), string(body))
+	}
 	var faults RuntimeFaults
 	if w.runtime.Faults != nil {
 		faults = w.runtime.Faults()
@@ -105,11 +110,6 @@
 	default:
 		w.waiting = append(w.waiting, started)
 	}
-	if w.onStart != nil {
-		encoded, _ := message[fieldBody].(string)
-		body, _ := base64.StdEncoding.DecodeString(encoded) // on an error, the part that was decoded
-		w.onStart(id, fmt.Sprint(message[fieldClass]), string(body))
-	}
 }
 
 // runWaiting assigns free cores to waiting runs.
--- a/internal/fake/fake_test.go
+++ b/internal/fake/fake_test.go
@@ -234,10 +234,17 @@
 	faults := make(chan RuntimeFaults, 9)
 	runtime.Faults = func() RuntimeFaults { return <-faults }
 	link := linkTo(t, runtime)
-	runtime.AutoRun(1, time.Millisecond, 1, nil)
+	started := make(chan string, 9)
+	runtime.AutoRun(1, time.Millisecond, 1, func(id, _, _ string) {
+		time.Sleep(10 * time.Millisecond) // a notice that is sent before the start is recorded arrives in this time
+		started <- id
+	})
 	faults <- RuntimeFaults{FailRuns: true}
 	link.send(`{"t":"start","rid":"a"}`)
 	link.expect("end", "a", "failure")
+	if len(started) != 1 {
+		t.Error("the end of a run arrived before its start was recorded")
+	}
 	faults <- RuntimeFaults{LoseRuns: true}
 	link.send(`{"t":"start","rid":"b"}`)
 	link.send(`{"t":"stop","rid":"b"}`)
--- a/internal/fleet/coordinator/client/client_test.go
+++ b/internal/fleet/coordinator/client/client_test.go
@@ -36,22 +36,25 @@
 			if err != nil {
 				return
 			}
-			server.requests <- serveOne(conn, answer)
+			server.serve(conn, answer)
 			_ = conn.Close()
 		}
 	}()
 	return server
 }
 
-// serveOne handles one connection. It returns the request line, or a description of a failed handshake.
-func serveOne(conn net.Conn, answer func(string) string) string {
+// serve handles one connection. It records the request line, or a description of a failed handshake, before it answers,
+// so that a client that has the answer finds the request recorded.
+func (s *fakeCoordinator) serve(conn net.Conn, answer func(string) string) {
 	kind, err := documentedListener(conn, clusterKey)
 	if err != nil || kind != 'o' {
-		return fmt.Sprint(string(kind), err)
+		s.requests <- fmt.Sprint(string(kind), err)
+		return
 	}
 	line, _ := bufio.NewReader(conn).ReadString('\n') // the test compares the received line
-	_, _ = io.WriteString(conn, answer(line)+"\n")    // a disconnected client is not an error here
-	return line
+	response := answer(line)
+	s.requests <- line
+	_, _ = io.WriteString(conn, response+"\n") // a disconnected client is not an error here
 }
 
 func (s *fakeCoordinator) client() Client {
@@ -75,12 +78,22 @@
 		return responseLine(response)
 	})
 	follower := newFakeCoordinator(t, func(string) string { return responseLine(Response{Leader: leader.addr}) })
-	response, err := follower.client().Do(Request{Command: &goldenCommand})
+	request := Request{Command: &goldenCommand}
+	response, err := follower.client().Do(request)
 	if err != nil || !reflect.DeepEqual(response.Reply, &goldenReply) {
 		t.Errorf("%+v, %v", response, err)
 	}
 	if count := len(leader.requests); count != 2 {
-		t.Errorf("the leader got %d requests, want 2", count)
+		t.Fatalf("the leader got %d requests, want 2", count)
+	}
+	want, err := json.Marshal(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if line := <-leader.requests; line != string(want)+"\n" {
+			t.Errorf("the leader received %q, want %q", line, want)
+		}
 	}
 }
 
