AMQP: what a message expired by, or was published with, is read from all its deaths

Change: the routing key is taken from the entry that has another one than the queue's name; such an expired message is past its time; a queue that is not consumed is not full.

Tests: TestReadDeaths, a table of the header; TestReadAfterReturn demands that an expired message is past its deadline; TestIsFull. The tests of internal/amqp pass.

--- a/internal/amqp/delivery/flowcontroller.go
+++ b/internal/amqp/delivery/flowcontroller.go
@@ -138,6 +138,12 @@
 	return 0
 }
 
+// IsFull reports whether the queue is consumed and no further message of it may be in flight.
+func (c *FlowController) IsFull(name QueueName) bool {
+	q := c.lookup(name)
+	return q != nil && q.limit > 0 && q.inFlight >= q.limit
+}
+
 // Window returns how many messages may be in flight over all queues.
 func (c *FlowController) Window() int { return int(c.window) }
 
--- a/internal/amqp/delivery/flowcontroller_test.go
+++ b/internal/amqp/delivery/flowcontroller_test.go
@@ -204,3 +204,25 @@
 		flow.RecordOutcome(now, name, rapid.Bool().Draw(t, "failed"))
 	}
 }
+
+// A queue is full if it is consumed and has as many messages in flight as its limit allows.
+func TestIsFull(t *testing.T) {
+	flow := NewFlowController([]Queue{{Name: "ops", Weight: 1, MinInFlight: 2, MaxInFlight: 2}}, 30)
+	check := func(when string, want bool) {
+		t.Helper()
+		if got := flow.IsFull("ops"); got != want {
+			t.Errorf("%s: %v, want %v", when, got, want)
+		}
+	}
+	check("before the first update", false)
+	flow.Update(0, idleLoad, false)
+	flow.RecordDelivery("ops")
+	check("one of two in flight", false)
+	flow.RecordDelivery("ops")
+	check("two of two in flight", true)
+	flow.Update(UpdateInterval, idleLoad, true)
+	check("paused", false)
+	if flow.IsFull("other") {
+		t.Error("a queue that is not consumed is full")
+	}
+}
--- a/internal/amqp/mapping.go
+++ b/internal/amqp/mapping.go
@@ -137,14 +137,15 @@
 	retryQueueDeadline time.Time
 }
 
-// read reads a message. now is used as the time of a message without a timestamp. filterDefect is the defect that the
-// frame filter has found. Each delivery of a message yields the same id, class and tenant, and matching content. If the
-// message has a timestamp, each yields the same deadline, unless the broker has removed the expiration and not kept it.
+// read reads a message. now is used as the time of a message without a timestamp that has not died. filterDefect is the
+// defect that the frame filter has found. Each delivery of a message yields the same id, class and tenant, and matching
+// content. If the message has a timestamp, each yields the same deadline, unless the broker has removed the expiration
+// and not kept it.
 func (m *Mapping) read(
 	queue delivery.QueueName, incoming *client.Delivery, filterDefect defect, now time.Time,
 ) parsedMessage {
 	deaths := readDeaths(queue, incoming.Headers)
-	published := deaths.restore(queue, incoming)
+	published := deaths.restore(incoming)
 	message := parsedMessage{
 		replyTo:       published.ReplyTo,
 		correlationID: published.CorrelationId,
@@ -162,7 +163,7 @@
 		message.correlationID = published.MessageId
 	}
 	m.readRequest(&message, queue, &published)
-	m.readDeadline(&message, &published, deaths.sentBefore(now))
+	m.readDeadline(&message, &published, deaths.latestSentTime(now))
 	if deaths.occurred && incoming.Expiration == "" {
 		message.deadline.Source = delivery.NotStated
 	}
@@ -244,10 +245,10 @@
 	message.request.WorkHint = time.Duration(costMilliseconds * float64(time.Millisecond))
 }
 
-// readDeadline reads when a message was sent, and its timeout, which is counted from that time. sentBefore is used as
-// the time of a message without a timestamp.
-func (m *Mapping) readDeadline(message *parsedMessage, published *client.Delivery, sentBefore time.Time) {
-	sentAt := sentBefore
+// readDeadline reads when a message was sent, and its timeout, which is counted from that time. latestSentTime is used
+// as the time of a message without a timestamp.
+func (m *Mapping) readDeadline(message *parsedMessage, published *client.Delivery, latestSentTime time.Time) {
+	sentAt := latestSentTime
 	source := delivery.NotStated
 	if !published.Timestamp.IsZero() {
 		sentAt = published.Timestamp
@@ -282,12 +283,20 @@
 
 // readExpiration returns the timeout that an expiration states. An invalid one is a defect.
 func (m *parsedMessage) readExpiration(expiration string) time.Duration {
+	timeout, ok := parseExpiration(expiration)
+	if !ok {
+		m.markDefect(badExpiration)
+	}
+	return timeout
+}
+
+// parseExpiration parses an expiration, a number of milliseconds. For an invalid one it returns 0 and false.
+func parseExpiration(expiration string) (timeout time.Duration, ok bool) {
 	milliseconds, err := strconv.ParseInt(expiration, 10, 64)
 	if err != nil || milliseconds < 0 || milliseconds > maxExpirationMilliseconds {
-		m.markDefect(badExpiration)
-		milliseconds = 0
+		return 0, false
 	}
-	return time.Duration(milliseconds) * time.Millisecond
+	return time.Duration(milliseconds) * time.Millisecond, true
 }
 
 // setDeadline replaces the deadline. Unless its time is the same, it replaces the timeout of the request, too.
--- a/internal/amqp/message.go
+++ b/internal/amqp/message.go
@@ -118,7 +118,7 @@
 		DeadlineSource:      message.deadline.Source,
 		Idempotent:          c.isIdempotent(message),
 		ChangedByRetryQueue: message.changedByRetryQueue,
-		FillsWindow:         c.flow.InFlight(queue.Name) >= c.flow.Limit(queue.Name),
+		FillsWindow:         c.flow.IsFull(queue.Name),
 		RetryQueueShortens:  max(0, message.deadline.At.Sub(message.retryQueueDeadline)),
 	}
 }
--- a/internal/amqp/return_test.go
+++ b/internal/amqp/return_test.go
@@ -154,16 +154,16 @@
 		name       string
 		timestamp  time.Time
 		expiration string
-		expire     bool          // the message expires in the queue; otherwise it is rejected
-		requeue    bool          // the message is requeued
-		want       time.Duration // from sentAt to the deadline after the return; 0: the same deadline as before
+		expire     bool // the message expires in the queue; otherwise it is rejected, or requeued
+		requeue    bool
+		want       time.Duration // from sentAt to the deadline after the return; 0: the same deadline as before, or past
 	}{
 		{name: "requeued", timestamp: sentAt, expiration: "60000", requeue: true},
 		{name: "no expiration", timestamp: sentAt, want: classTimeout},
 		{name: "expiration below the class's time", timestamp: sentAt, expiration: "3000", want: classTimeout},
 		{name: "expiration above the class's time", timestamp: sentAt, expiration: "60000", want: classTimeout},
 		{name: "expired", timestamp: sentAt, expiration: "1", expire: true},
-		{name: "expired without a timestamp", expiration: "1", expire: true},
+		{name: "expired without a timestamp", expiration: "1500", expire: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -173,30 +173,34 @@
 			mapping.Tenant = Source{Name: "routing-key"}
 			mapping.Rank = Source{Header: true, Name: "x-delivery-count"}
 			mapping.ClassTimeouts = map[admission.Class]time.Duration{"pay": classTimeout}
-			deliveries := publishRouted(t, b, client.Publishing{Type: "pay", Timestamp: tc.timestamp, Expiration: tc.expiration},
-				tc.expire)
-			first := client.Delivery{Type: "pay", Timestamp: tc.timestamp, Expiration: tc.expiration, RoutingKey: "water"}
-			if !tc.expire {
-				first = deliveries.next(t)
-			}
-			before := mapping.read("ops", &first, noDefect, time.Now())
-			for attempt := range 3 { // the first return changes the message; the others must not change it either
-				again := first
-				if !tc.expire {
-					if err := first.Nack(false, tc.requeue); err != nil {
-						t.Fatal(err)
-					}
+			read := func(d *client.Delivery) parsedMessage { return mapping.read("ops", d, noDefect, time.Now()) }
+			message := client.Publishing{Type: "pay", Timestamp: tc.timestamp, Expiration: tc.expiration}
+			deliveries := publishRouted(t, b, message, tc.expire)
+			d := client.Delivery{Type: "pay", Timestamp: tc.timestamp, Expiration: tc.expiration, RoutingKey: "water"}
+			before := read(&d)
+			d = deliveries.next(t)
+			if tc.expire {
+				after := read(&d)
+				checkReread(t, before, after, before.deadline.At)
+				if after.deadline.At.After(time.Now()) {
+					t.Errorf("the deadline of an expired message is %v, want one that has passed", after.deadline.At)
 				}
-				if !tc.expire || attempt == 0 {
-					again = deliveries.next(t)
+				return
+			}
+			wantDeadline := before.deadline.At
+			if tc.want > 0 {
+				wantDeadline = sentAt.Add(tc.want)
+			}
+			for count := range 3 { // the first return changes the message; the others must not change it either
+				if err := d.Nack(false, tc.requeue); err != nil {
+					t.Fatal(err)
 				}
-				if again.Headers == nil {
-					again.Headers = client.Table{}
+				d = deliveries.next(t)
+				if d.Headers == nil {
+					d.Headers = client.Table{}
 				}
-				again.Headers["x-delivery-count"] = int64(attempt + 1) // as a quorum queue counts
-				after := mapping.read("ops", &again, noDefect, time.Now())
-				checkReread(t, before, after, sentAt, tc.want)
-				first = again
+				d.Headers["x-delivery-count"] = int64(count + 1) // as a quorum queue counts
+				checkReread(t, before, read(&d), wantDeadline)
 			}
 		})
 	}
@@ -227,8 +231,8 @@
 	return newRawConsumer(t, b, "ops")
 }
 
-// checkReread compares a message as it was read before and after a return.
-func checkReread(t *testing.T, before, after parsedMessage, sentAt time.Time, want time.Duration) {
+// checkReread compares a message as it was read before and after a return. The deadline may be earlier than latest.
+func checkReread(t *testing.T, before, after parsedMessage, latest time.Time) {
 	t.Helper()
 	if after.request.Class != before.request.Class || after.request.Tenant != before.request.Tenant ||
 		after.request.Rank != before.request.Rank || after.defect != before.defect {
@@ -242,12 +246,8 @@
 	if after.id != before.id && !lostExpiration {
 		t.Errorf("id %s, before the return %s", after.id, before.id)
 	}
-	wantDeadline := before.deadline.At
-	if want > 0 {
-		wantDeadline = sentAt.Add(want)
-	}
-	if after.deadline.At.After(wantDeadline) {
-		t.Errorf("deadline %v, want at most %v", after.deadline.At, wantDeadline)
+	if after.deadline.At.After(latest) {
+		t.Errorf("deadline %v, want at most %v", after.deadline.At, latest)
 	}
 }
 
