--- a/internal/amqp/return_test.go
+++ b/internal/amqp/return_test.go
@@ -71,8 +71,8 @@
 
 // lastVersionDeadline returns the deadline that a peer of the version before reads, which looks at the timestamp and
 // the expiration alone.
-func lastVersionDeadline(d client.Delivery, now time.Time) time.Time {
-	timeout := defaultQueue().Mapping.DefaultTimeout
+func lastVersionDeadline(d client.Delivery, defaultTimeout time.Duration, now time.Time) time.Time {
+	timeout := defaultTimeout
 	if milliseconds, err := strconv.Atoi(d.Expiration); err == nil {
 		timeout = time.Duration(milliseconds) * time.Millisecond
 	}
@@ -112,12 +112,14 @@
 		b = newRetryBroker(20)
 	}
 	server.rejectAll()
-	bed := startTestbed(b, server, returningConfig(b, useRetryQueue))
+	config := returningConfig(b, useRetryQueue)
+	defaultTimeout := config.Queues[0].Mapping.DefaultTimeout
+	bed := startTestbed(b, server, config)
 	defer bed.close()
 	published := time.Now()
 	b.Publish("ops", message)
 	first := client.Delivery{Timestamp: message.Timestamp, Expiration: message.Expiration}
-	deadline := lastVersionDeadline(first, published)
+	deadline := lastVersionDeadline(first, defaultTimeout, published)
 	fake.WaitFor("the first delivery", func() bool { return b.Counts("ops").Delivered > 0 })
 	peer := newRawConsumer(t, b, "ops")
 	mayReturn := !message.Timestamp.IsZero() && message.Expiration == ""
@@ -126,7 +128,7 @@
 		select {
 		case d := <-peer.deliveries:
 			returned = true
-			if read := lastVersionDeadline(d, time.Now()); read.After(deadline) {
+			if read := lastVersionDeadline(d, defaultTimeout, time.Now()); read.After(deadline) {
 				t.Errorf("a peer reads a deadline that is %v later", read.Sub(deadline))
 			}
 			_ = d.Ack(false)
