AMQP tests: TestKeptOnlyBesideOthers waits for the acks that it counts

Cause: it counted the unsettled deliveries as soon as the third reply was published, and its ack is sent after that.

Change: it waits for the three acks, and demands the same.

--- a/internal/amqp/deadline_test.go
+++ b/internal/amqp/deadline_test.go
@@ -41,8 +41,9 @@
 	return s
 }
 
-// TestEachAnsweredInTime runs messages of all kinds over three overloaded consumers, one of which drains meanwhile. Each
-// message must have one reply, by its deadline, and none may be executed twice.
+// TestEachAnsweredInTime guards against answers after a message's time, and second ones, whatever the message says of
+// its time: messages of all kinds run over three overloaded consumers, one of which drains meanwhile. Each message must
+// have one reply, by its deadline, and none may be executed twice.
 func TestEachAnsweredInTime(t *testing.T) {
 	t.Parallel()
 	const (
@@ -98,7 +99,7 @@
 		}
 	}
 	counts := b.Counts("ops")
-	t.Logf("executed %d, rejected by the broker's counts %d, requeued %d", len(executions), counts.Rejected, counts.Requeued)
+	t.Logf("%d executed, %d rejected into the retry queue, %d requeued", len(executions), counts.Rejected, counts.Requeued)
 	if counts.Rejected == 0 {
 		t.Error("no message was returned through the retry queue")
 	}
--- a/internal/amqp/resubmit_test.go
+++ b/internal/amqp/resubmit_test.go
@@ -78,6 +78,7 @@
 		waitWaiting(bed.consumer) // for the first one
 	}
 	bed.waitReplies(3)
+	fake.WaitFor("their acks", func() bool { return b.Counts("ops").Acked == 3 })
 	if counts := b.Counts("ops"); counts.Unsettled != 1 || counts.Ready != 0 {
 		t.Errorf("%+v, want one message that waits and none unread", counts)
 	}
