AMQP: a consumer has its own list of queues

Cause: New wrote the timeouts of the classes into the list of queues that its caller passes, which may belong to another consumer as well. The race detector found it in TestEachAnsweredInTime, whose three consumers share a configuration; an instance has one consumer.

Change: New copies the list.

Measured: with the race detector the tests of internal/amqp, fake, lifecycle and the coordinators' client pass twice.

--- a/internal/amqp/consumer.go
+++ b/internal/amqp/consumer.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lanewheel/admission"
@@ -88,6 +89,7 @@
 // New returns a consumer that submits messages to server. It starts to consume when Start is called. postToServer posts
 // calls to the server's event loop.
 func New(config Config, server frontend.Server, postToServer func(...func()), seed uint64) *Consumer {
+	config.Queues = slices.Clone(config.Queues) // the caller keeps its own
 	c := &Consumer{
 		Loop:         eventloop.New(maxPendingCalls),
 		config:       config,
