AMQP: a message that waits for its retry here leaves its place to others, and is not failed for it

Cause: a rejected message that took the last place of its queue's window was answered failed at once.

Change: it is kept in any case, as before.

Tests: TestWaitingDoesNotHoldUpQueue takes the place of TestKeptOnlyBesideOthers, whose demand was the rule that was wrong: that none waits unread is demanded as before, for four messages in place of three, and that each is answered at once no more. TestWaitingLeavesWindow takes that of TestIsFull, whose function is gone. TestSettle draws no full window.

--- a/internal/amqp/delivery/flowcontroller.go
+++ b/internal/amqp/delivery/flowcontroller.go
@@ -56,7 +56,7 @@
 type FlowController struct {
 	queues      []*queue
 	maxInFlight int           // maximum number of messages in flight over all queues
-	window      float64       // messages that may be in flight now, over all queues
+	window      float64       // messages that may be in flight now, over all queues, besides those that wait
 	updatedAt   time.Duration // time of the last update, if updated is true
 	updated     bool          // Update has computed the limits at least once
 	rejected    int           // messages rejected by the server since the last Update
@@ -109,6 +109,22 @@
 func (c *FlowController) ResetInFlight(name QueueName) {
 	if q := c.lookup(name); q != nil {
 		q.inFlight = 0
+		q.waiting = 0
+	}
+}
+
+// RecordWaiting records that a message of the queue stays in flight while it waits for its retry outside the window: it
+// takes nothing of the server, and further messages must not wait for it unread.
+func (c *FlowController) RecordWaiting(name QueueName) {
+	if q := c.lookup(name); q != nil {
+		q.waiting++
+	}
+}
+
+// RecordWaited records the end of a wait that RecordWaiting has recorded.
+func (c *FlowController) RecordWaited(name QueueName) {
+	if q := c.lookup(name); q != nil && q.waiting > 0 {
+		q.waiting--
 	}
 }
 
@@ -138,24 +154,28 @@
 	return 0
 }
 
-// IsFull reports whether the queue is consumed and no further message of it may be in flight.
-func (c *FlowController) IsFull(name QueueName) bool {
-	q := c.lookup(name)
-	return q != nil && q.limit > 0 && q.inFlight >= q.limit
+// totalWaiting returns the number of messages that wait for their retry, over all queues.
+func (c *FlowController) totalWaiting() (sum int) {
+	for _, q := range c.queues {
+		sum += q.waiting
+	}
+	return sum
 }
 
-// Window returns how many messages may be in flight over all queues.
+// Window returns how many messages may be in flight over all queues, besides those that wait for their retry.
 func (c *FlowController) Window() int { return int(c.window) }
 
 // PauseReason returns the reason why consuming is paused, or NotPaused.
 func (c *FlowController) PauseReason() PauseReason { return c.pauseReason }
 
-// Limit returns how many messages of the queue may be in flight. A queue with limit 0 is not consumed.
+// Limit returns how many messages of the queue may be in flight, with those that wait for their retry. A queue with
+// limit 0 is not consumed.
 func (c *FlowController) Limit(name QueueName) int {
-	if q := c.lookup(name); q != nil {
-		return q.limit
+	q := c.lookup(name)
+	if q == nil || q.limit == 0 {
+		return 0
 	}
-	return 0
+	return max(q.limit, min(q.limit+q.waiting, q.MaxInFlight))
 }
 
 // State returns the pause reason and the mode of the queue.
@@ -218,7 +238,8 @@
 	cores := max(1, load.Cores)
 	queued := float64(load.Queued)
 	minWindow := float64(c.minInFlight())
-	inFlight := c.TotalInFlight()
+	waiting := c.totalWaiting()
+	inFlight := max(0, c.TotalInFlight()-waiting)
 	c.window = max(c.window, minWindow) // a lack of capacity may have reduced it below the minimum
 	switch {
 	case rejected > 0, !load.Healthy, queued > overloadedQueuePerCore*cores:
@@ -226,5 +247,5 @@
 	case float64(inFlight) >= windowUsedFraction*c.window && queued <= growthQueuePerCore*cores:
 		c.window += cores
 	}
-	c.window = min(c.window, float64(min(c.maxInFlight, inFlight+load.FreeCapacity)))
+	c.window = min(c.window, float64(min(c.maxInFlight-waiting, inFlight+load.FreeCapacity)))
 }
--- a/internal/amqp/delivery/queue.go
+++ b/internal/amqp/delivery/queue.go
@@ -22,8 +22,8 @@
 	outcomeWindow = 32
 	// minQueueWeight is the lowest effective weight. Without it a queue of weight 0 would never get a share.
 	minQueueWeight = 0.01
-	// A queue that has n messages in flight is assigned at most demandGrowthFactor*n + demandHeadroom, or its minimum
-	// if that is higher.
+	// A queue that has n messages in flight, besides those that wait for their retry, is assigned at most
+	// demandGrowthFactor*n + demandHeadroom, or its minimum if that is higher.
 	demandGrowthFactor = 2
 	demandHeadroom     = 4
 )
@@ -83,7 +83,8 @@
 type queue struct {
 	Queue
 	inFlight      int // deliveries received and not settled
-	limit         int // maximum number of messages in flight, set by the last Update
+	waiting       int // messages in flight that wait for their retry
+	limit         int // maximum number of messages in flight besides those that wait, set by the last Update
 	mode          queueMode
 	nextProbe     time.Duration // when a failing queue may receive its next message
 	probeBackoff  time.Duration
@@ -162,7 +163,7 @@
 // demand returns the highest limit that is useful for the queue. Unless the mode or MaxInFlight restricts it, it
 // exceeds the number of messages in flight, because the queue may hold further messages, and their number is not known.
 func (q *queue) demand(now time.Duration) int {
-	return min(q.modeLimit(now), demandGrowthFactor*q.inFlight+demandHeadroom)
+	return min(q.modeLimit(now), demandGrowthFactor*(q.inFlight-q.waiting)+demandHeadroom)
 }
 
 // divideWindow divides the window among the queues. Each queue first gets its minimum. The rest goes to the queues by
--- a/internal/amqp/delivery/settle.go
+++ b/internal/amqp/delivery/settle.go
@@ -65,8 +65,7 @@
 	return Reject, !message.ChangedByRetryQueue && message.returnsInTime(Reject, config.RetryQueueDelay)
 }
 
-// settleRejected schedules another attempt if the message's attempts, its deadline and the budget allow one. A message
-// that is kept for it must not take the last place of its queue, so that further messages need not wait unread.
+// settleRejected schedules another attempt if the message's attempts, its deadline and the budget allow one.
 func (b *RetryBudget) settleRejected(
 	message Message, config SettlementConfig, retryAfter time.Duration, random float64,
 ) Disposition {
@@ -79,8 +78,7 @@
 	if action == Reject {
 		total += config.RetryQueueDelay
 	}
-	holdsUpQueue := action == Resubmit && message.FillsWindow
-	if holdsUpQueue || total >= message.Remaining || !b.take() {
+	if total >= message.Remaining || !b.take() {
 		return finalDisposition(Failed, config)
 	}
 	return Disposition{Action: action, Delay: delay}
--- a/internal/amqp/delivery/settlement.go
+++ b/internal/amqp/delivery/settlement.go
@@ -70,8 +70,6 @@
 	Idempotent     bool // the message's class may be executed twice
 	// ChangedByRetryQueue is set if the broker removes or replaces values of the message when it is dead-lettered.
 	ChangedByRetryQueue bool
-	// FillsWindow is set if its queue is consumed and no further message of it may be in flight.
-	FillsWindow bool
 	// RetryQueueShortens is by how much earlier the deadline is for a consumer that gets the message from the retry queue.
 	RetryQueueShortens time.Duration
 }
--- a/internal/amqp/message.go
+++ b/internal/amqp/message.go
@@ -24,6 +24,8 @@
 	queue    *Queue
 	message  parsedMessage
 	finished bool // the outcome has been received
+	// resubmitted is set if this consumer has kept the message and submitted it again.
+	resubmitted bool
 }
 
 // handleDelivery handles one delivery, which was read by the goroutine of its channel.
@@ -34,7 +36,7 @@
 	c.flow.RecordDelivery(queue.Name)
 	c.session.trackDelivery(queue.Name, tag)
 	if c.draining {
-		action, ok := delivery.ReturnUnreceived(c.settlementMessage(queue, &message), queue.Settlement, redelivered)
+		action, ok := delivery.ReturnUnreceived(c.settlementMessage(&message), queue.Settlement, redelivered)
 		if ok {
 			c.counters.events[eventReturnedAtDrain]++
 			c.session.returnDelivery(queue.Name, tag, action)
@@ -111,14 +113,13 @@
 }
 
 // settlementMessage returns the properties of a message on which its settlement depends.
-func (c *Consumer) settlementMessage(queue *Queue, message *parsedMessage) delivery.Message {
+func (c *Consumer) settlementMessage(message *parsedMessage) delivery.Message {
 	return delivery.Message{
 		PriorAttempts:       max(message.priorAttempts, c.deduplicator.ReturnCount(message.id)),
 		Remaining:           time.Until(message.deadline.At),
 		DeadlineSource:      message.deadline.Source,
 		Idempotent:          c.isIdempotent(message),
 		ChangedByRetryQueue: message.changedByRetryQueue,
-		FillsWindow:         c.flow.IsFull(queue.Name),
 		RetryQueueShortens:  max(0, message.deadline.At.Sub(message.retryQueueDeadline)),
 	}
 }
@@ -127,7 +128,7 @@
 func (c *Consumer) decideDisposition(
 	pending *pendingMessage, outcome delivery.Outcome, retryAfter time.Duration,
 ) delivery.Disposition {
-	message := c.settlementMessage(pending.queue, &pending.message)
+	message := c.settlementMessage(&pending.message)
 	return c.retryBudget.Settle(message, pending.queue.Settlement, outcome, retryAfter, c.random.Float64())
 }
 
