Tests: Example_queueIdentity ends both instances that it starts

Cause: the deferred close was bound to the first deployment, so the second instance went on running after the test, with its TLS address, which is derived from the test process's id modulo 250. A later run whose id has the same remainder could not bind it.

Change: the second deployment is closed too.

--- a/cmd/lanewheel/queue_test.go
+++ b/cmd/lanewheel/queue_test.go
@@ -111,7 +111,6 @@
 // queue or taken from a token in each message.
 func Example_queueIdentity() {
 	h := deployWithAuth()
-	defer h.close()
 	h.close()
 	b := broker.New()
 	defer b.Close()
@@ -123,6 +122,7 @@
 	operatorPath = h.path("op.ini")
 	h.deployment = deployReady(`"tenants":[]`, `"tenants":[{"name":"water"},{"name":"roads"}]`)
 	operatorPath = ""
+	defer h.close()
 	d := &queueDeployment{deployment: h.deployment, broker: b}
 	messageWithHeader := func(id, name, value string) client.Publishing {
 		p := queueMessage(id, "view")
