--- a/internal/amqp/deaths.go
+++ b/internal/amqp/deaths.go
@@ -34,8 +34,9 @@
 	"x-acquired-count":       true,
 }
 
-// deaths is what the x-death header says about a message's deaths in one queue. Deaths in other queues do not count: a
-// message may have been delayed in one of them, by an expiration that does not limit its time.
+// deaths is what the x-death header says about a message's deaths in one queue, which is how RabbitMQ calls it when a
+// queue dead-letters a message. Deaths in other queues do not count: a message may have been delayed in one of them, by
+// an expiration that does not limit its time.
 type deaths struct {
 	queue      delivery.QueueName
 	occurred   bool
--- a/internal/amqp/mapping.go
+++ b/internal/amqp/mapping.go
@@ -65,10 +65,10 @@
 	retryQueueDeadline time.Time
 }
 
-// read reads a message. now is used as the time of a message without a timestamp that has not died. filterDefect is the
-// defect that the frame filter has found. Each delivery of a message yields the same id, class and tenant, and matching
-// content. If the message has a timestamp, each yields the same deadline, unless the broker has removed the expiration
-// and not kept it.
+// read reads a message. now is used as the time of a message that has no timestamp and was not dead-lettered.
+// filterDefect is the defect that the frame filter has found. Each delivery of a message yields the same id, class and
+// tenant, and matching content. If the message has a timestamp, each yields the same deadline, unless the broker has
+// removed the expiration and not kept it.
 func (m *Mapping) read(
 	queue delivery.QueueName, incoming *client.Delivery, filterDefect defect, now time.Time,
 ) parsedMessage {
--- a/internal/amqp/resubmit_test.go
+++ b/internal/amqp/resubmit_test.go
@@ -75,6 +75,7 @@
 	}
 	config := returningConfig(b, false)
 	config.Queues[0].MinInFlight = 1
+	server.load.Queued = 100 // the window stays at its minimum
 	bed := startTestbed(b, server, config)
 	for _, id := range []string{"a", "b", "c", "d"} {
 		message := timedMessage(id, "view")
--- a/internal/amqp/return_test.go
+++ b/internal/amqp/return_test.go
@@ -169,7 +169,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			b := broker.New()
+			b := newRetryBroker(20)
 			defer b.Close()
 			mapping := defaultQueue().Mapping
 			mapping.Tenant = Source{Name: "routing-key"}
@@ -177,7 +177,11 @@
 			mapping.ClassTimeouts = map[admission.Class]time.Duration{"pay": classTimeout}
 			read := func(d *client.Delivery) parsedMessage { return mapping.read("ops", d, noDefect, time.Now()) }
 			message := client.Publishing{Type: "pay", Timestamp: tc.timestamp, Expiration: tc.expiration}
-			deliveries := publishRouted(t, b, message, tc.expire)
+			publishRouted(t, b, message)
+			if tc.expire {
+				fake.WaitFor("the expiry", func() bool { return b.Counts("ops").Expired == 1 })
+			}
+			deliveries := newRawConsumer(t, b, "ops")
 			d := client.Delivery{Type: "pay", Timestamp: tc.timestamp, Expiration: tc.expiration, RoutingKey: "water"}
 			before := read(&d)
 			d = deliveries.next(t)
@@ -208,13 +212,9 @@
 	}
 }
 
-// publishRouted publishes a message to a queue with a retry queue, by a routing key that the retry queue replaces. If
-// waitForExpiry is set, it consumes from the queue only once the message has expired there.
-func publishRouted(t *testing.T, b *broker.Broker, message client.Publishing, waitForExpiry bool) rawConsumer {
+// publishRouted publishes a message to the work queue by a routing key that the retry queue replaces.
+func publishRouted(t *testing.T, b *broker.Broker, message client.Publishing) {
 	t.Helper()
-	b.DeclareQueue("ops", client.Table{"x-dead-letter-exchange": "", "x-dead-letter-routing-key": "ops.retry"})
-	b.DeclareQueue("ops.retry", client.Table{"x-message-ttl": 20, "x-dead-letter-exchange": "",
-		"x-dead-letter-routing-key": "ops"})
 	connection := fake.Must(client.Dial(b.URL()))
 	t.Cleanup(func() { _ = connection.Close() })
 	channel := fake.Must(connection.Channel())
@@ -227,10 +227,28 @@
 	if err := channel.PublishWithContext(t.Context(), "tenants", "water", false, false, message); err != nil {
 		t.Fatal(err)
 	}
-	if waitForExpiry {
-		fake.WaitFor("the expiry", func() bool { return b.Counts("ops").Expired == 1 })
+}
+
+// TestRoutedMessageStays guards against a tenant that a peer of the version before reads as the queue's name: a message
+// with a value from its routing key is not put through the retry queue, which replaces the key.
+func TestRoutedMessageStays(t *testing.T) {
+	b, server := newRetryBroker(20), newFakeServer()
+	tenants := map[string]int{}
+	server.respond = func(request frontend.Request, _ string, responder frontend.Responder) {
+		tenants[request.Tenant]++
+		responder.Reject(frontend.ResponseMetadata{})
+		responder.Done()
+	}
+	config := returningConfig(b, true)
+	config.Queues[0].Mapping.Tenant = Source{Name: "routing-key"}
+	bed := startTestbed(b, server, config)
+	defer bed.close()
+	publishRouted(t, b, timedMessage("a", "pay"))
+	bed.waitReplies(1)
+	bed.waitSettled()
+	if counts := b.Counts("ops"); counts.Rejected > 0 || tenants["water"] != 3 || len(tenants) != 1 {
+		t.Errorf("attempts by tenant %v, %+v, want three for water and none returned", tenants, counts)
 	}
-	return newRawConsumer(t, b, "ops")
 }
 
 // checkReread compares a message as it was read before and after a return. The deadline may be earlier than latest.
